Learn the idle time after which backends reset a reused connection

The pool now counts what became of requests by the idle time before them, and closes connections older than the time from which resets are far more common.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -73,6 +73,7 @@
     private final Sockets sockets;
     private final Bootstrap bootstrap;
     private final long idleUs;
+    private final IdleLimit idleLimit = new IdleLimit();
     private final Map<String, Target> targets = new HashMap<>();
 
     Backends(Clock clock, Transport transport, Sockets sockets, long connIdleUs, long connectTimeoutUs) {
@@ -185,6 +186,9 @@
         boolean hasIdle() {
             long now = clock.now();
             // The first has been idle for longest.
+            while (!idle.isEmpty() && !idleLimit.allows(now - idle.getFirst().idleSince)) {
+                idle.removeFirst().channel.close();
+            }
             return !idle.isEmpty() && idle.getFirst().settled(now);
         }
 
@@ -339,7 +343,9 @@
         private Attempt attempt;
         private FullHttpResponse answer;
         private boolean unasked;
+        /** 0 while it has not carried any attempt. */
         private long idleSince;
+        private long idledUs;
         private Future<?> stall;
 
         Connection(Target target, Channel channel, Framing.Responses decoder) {
@@ -350,6 +356,7 @@
 
         void begin(Attempt next) {
             attempt = next;
+            idledUs = idleSince == 0 ? 0 : clock.now() - idleSince;
             decoder.countAfresh();
         }
 
@@ -391,6 +398,7 @@
             answer = null;
             attempt = null;
             stopAwaiting();
+            idleLimit.learn(idledUs, false);
             // One that began before the request was written whole can't be its answer.
             boolean sound = response.decoderResult().isSuccess() && a.written;
             boolean clean = sound && !unasked && !decoder.holdsMore();
@@ -461,6 +469,7 @@
             if (attempt != null) {
                 Attempt a = attempt;
                 attempt = null;
+                idleLimit.learn(idledUs, decoder.bytes() == 0);
                 a.end(a.written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
             }
             super.channelInactive(ctx);
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -85,6 +85,32 @@
         }
     }
 
+    /** A backend that resets whatever comes on a connection that has stood idle gets new connections before long. */
+    @Test
+    void connectionsThatAreResetAfterStandingIdleAreNotUsedAgain() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            Peer.background(() -> {
+                while (true) {
+                    Wire connection = backend.accept();
+                    Peer.background(() -> {
+                        connection.read();
+                        connection.send(OK_X);
+                        connection.read();
+                        connection.close();
+                    });
+                }
+            });
+            int resets = 0;
+            for (int served = 0; served < 2;) {
+                settle();
+                client.send(Fixture.get("r" + resets + "-" + served));
+                served = client.read().status() == 200 ? served + 1 : 0;
+                resets += served == 0 ? 1 : 0;
+                assertThat(resets).isLessThan(20);
+            }
+        }
+    }
+
     /** The request has run, and no answer that can be believed will follow: that is told now, not when time is up. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
