Accept several clients a turn, and pass over those that have gone meanwhile

One connection was accepted in each turn of the loop, the oldest first, so that each had grown old when its turn came, and its request went to a backend before the client's close behind it was read. Now eight are accepted in a turn, what has come is read to its end, and only then do requests begin.

Test: aClientThatHasGoneBeforeItsRequestIsReadIsPassedOver.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -224,7 +224,8 @@
             if (exchange == null) {
                 sockets.clientBusy(channel);
                 exchange = next;
-                next.begin();
+                // As a task: by then all that has come is read, and a client that has gone is known to have.
+                channel.eventLoop().execute(next::begin);
             } else if (waiting.size() < PIPELINED) {
                 waiting.add(next);
             } else {
@@ -432,6 +433,9 @@
         }
 
         void begin() {
+            if (connection.exchange != this || !connection.channel.isActive()) {
+                return;
+            }
             Proxy.Incoming incoming;
             try {
                 var uri = new QueryStringDecoder(request.uri());
--- a/src/main/java/beechfall/proxy/Sockets.java
+++ b/src/main/java/beechfall/proxy/Sockets.java
@@ -81,7 +81,7 @@
     }
 
     private void accept() {
-        boolean on = clients < mostClients + LOBBY;
+        boolean on = clients <= mostClients + LOBBY - Transport.ACCEPTED_AT_ONCE;
         if (listener != null && listener.config().isAutoRead() != on) {
             listener.config().setAutoRead(on);
         }
--- a/src/main/java/beechfall/proxy/Transport.java
+++ b/src/main/java/beechfall/proxy/Transport.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -25,12 +26,19 @@
 record Transport(EventLoop loop, ServerBootstrap server, Bootstrap client,
         Function<InetSocketAddress, SocketAddress> addresses) {
     private static final int BACKLOG = 1_024;
+    /** Each counts only after all of them are accepted: {@link Sockets} keeps so many places. */
+    static final int ACCEPTED_AT_ONCE = 8;
+    private static final int READS_AT_ONCE = 16;
 
     static Transport sockets() {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                // One at a time: each that is accepted counts before the next is.
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
+                // A few at a time: one in each turn of a busy loop lets those that wait grow old.
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
+                // Up to the end of what has come, as that shows whether the client has gone meanwhile.
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
         return new Transport(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class), a -> a);
     }
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -45,6 +45,43 @@
         }
     }
 
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** What waited while the proxy was held up is read to its end first: a client that has gone costs no attempt. */
+    @Test
+    void aClientThatHasGoneBeforeItsRequestIsReadIsPassedOver() throws Exception {
+        var held = new CountDownLatch(1);
+        Fixture.Module module = (event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("first")) {
+                awaitQuietly(held);
+            }
+            if (event instanceof Arrival a) {
+                actions.accept(new Refuse(a.id(), 0));
+            }
+        };
+        try (var proxy = new Fixture(module); var first = proxy.client()) {
+            first.send(Fixture.get("first"));
+            proxy.next(Arrival.class);
+            for (int i = 0; i < 5; i++) {
+                try (var gone = proxy.client()) {
+                    gone.send(Fixture.get("gone" + i));
+                }
+            }
+            try (var late = proxy.client()) {
+                late.send(Fixture.get("late"));
+                held.countDown();
+                assertThat(late.read().status()).isEqualTo(503);
+            }
+            assertThat(proxy.next(Arrival.class).id()).isEqualTo("late");
+        }
+    }
+
     /** Whatever is wrong with a request, it costs neither a backend nor the module anything. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
@@ -224,11 +261,7 @@
         var goOn = new CountDownLatch(1);
         try (var proxy = new Fixture((event, actions) -> {
             if (event instanceof Arrival a && a.id().equals("r1")) {
-                try {
-                    goOn.await();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
+                awaitQuietly(goOn);
             }
         }); var one = proxy.client(); var two = proxy.client()) {
             two.send("GET /ready HTTP/1.1\r\n\r\n").read();
