Let clients keep their connections through most of a drain, and fail what is left

From the signal on it closed each connection with its answer, so that all clients turned to a proxy that had just begun and runs cold code at half a core. It may live as long as the longest deadline and 0.7 s: it now keeps its clients until 0.5 s before that deadline is over, ends the rest at its end, and accepts no new ones after 0.5 s, as before.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -76,6 +76,7 @@
     private final Set<String> tenants = new HashSet<>();
     private final Set<Connection> connections = new HashSet<>();
     private Channel listener;
+    private boolean leaving;
     private boolean closing;
     private long beatAt;
     private long heldUpFrom = Long.MAX_VALUE;
@@ -127,15 +128,23 @@
         return clock.now() - beatAt > 2 * BEAT_US ? beatAt + BEAT_US : otherwise;
     }
 
+    /** Whoever asks hears that no further clients are wanted; those that are here, or come all the same, are served. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Accepts no more. */
+    void stopListening() {
+        listener.close();
+    }
+
     /** From now on each answer is its connection's last, so that the clients go elsewhere. */
     void closeAfterAnswers() {
         closing = true;
     }
 
-    /** Accepts no more, and closes the connections on which nothing is asked. */
-    void stopListening() {
-        closing = true;
-        listener.close();
+    /** Closes the connections on which nothing is asked. */
+    void closeIdle() {
         List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
 
@@ -440,7 +449,7 @@
             try {
                 var uri = new QueryStringDecoder(request.uri());
                 if (uri.rawPath().equals("/ready")) {
-                    answer(ready.getAsBoolean() && !closing ? plain(HttpResponseStatus.OK, "ready")
+                    answer(ready.getAsBoolean() && !leaving ? plain(HttpResponseStatus.OK, "ready")
                             : plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
                     return;
                 }
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -123,6 +123,11 @@
         }
     }
 
+    /** The process is about to end: whatever still waits is answered now, or it would be lost. */
+    void failAll() {
+        List.copyOf(requests.values()).forEach(this::overdue);
+    }
+
     /** Discovery's news, or {@link Balancer.ListKind#FAILED} where a call has brought none. */
     void members(Balancer.ListKind kind, List<Backends.Listed> listed) {
         List<Backends.Attempt> unsent = kind == Balancer.ListKind.FAILED ? List.of() : backends.update(kind, listed);
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -16,8 +16,11 @@
     /** New connections go on coming for so long after the signal. */
     private static final long FRONT_LAG_MS = 500;
     private static final long LOOK_MS = 10;
-    /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
+    /** The process is killed 700 ms after the longest deadline, which counts for so much at most; a little earlier it ends. */
+    private static final long MOST_DEADLINE_MS = 3_000;
     private static final long KILL_MS = 600;
+    /** What is still open so long before the end is failed: it has had the time that most answers take. */
+    private static final long LAST_ANSWERS_MS = 50;
 
     /** What the warm-up may take: a first life has no clients yet, so they come once it is over. */
     private static final long WARM_MS = 6_000;
@@ -162,12 +165,16 @@
         }
     }
 
-    /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
+    /**
+     * Answers all that is taken, sends the clients elsewhere, and ends the process in time. Clients may keep the
+     * connections that they have for most of it: the proxy that they would turn to may itself have just begun.
+     */
     void drain() {
-        long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
+        long longestMs = Math.min(MOST_DEADLINE_MS,
+                config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000);
         loop.execute(() -> {
             log.line(config.name() + ": draining");
-            frontend.closeAfterAnswers();
+            frontend.leave();
         });
         loop.schedule(() -> {
             frontend.stopListening();
@@ -177,6 +184,9 @@
                 }
             }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(frontend::closeAfterAnswers, Math.max(0, longestMs - FRONT_LAG_MS), TimeUnit.MILLISECONDS);
+        loop.schedule(frontend::closeIdle, longestMs, TimeUnit.MILLISECONDS);
+        loop.schedule(proxy::failAll, longestMs + KILL_MS - LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
         try {
             boolean all = drained.await(longestMs + KILL_MS, TimeUnit.MILLISECONDS);
             loop.submit(() -> log.line(config.name() + (all ? ": drained" : ": ends with clients still connected")))
