Accept up to 32 clients in a turn of the loop

With eight in a turn a cold proxy still had hundreds waiting to be accepted, and answers came after up to 1.6 s. Sockets keeps as many places as a turn may take.

--- a/src/main/java/beechfall/proxy/Transport.java
+++ b/src/main/java/beechfall/proxy/Transport.java
@@ -27,7 +27,7 @@
         Function<InetSocketAddress, SocketAddress> addresses) {
     private static final int BACKLOG = 1_024;
     /** Each counts only after all of them are accepted: {@link Sockets} keeps so many places. */
-    static final int ACCEPTED_AT_ONCE = 8;
+    static final int ACCEPTED_AT_ONCE = 32;
     private static final int READS_AT_ONCE = 16;
 
     static Transport sockets() {
