Answer clients that end their sending, and notice those that flood and leave

A client that sent more than 256 KiB behind an open request had its reading stopped, so its close or reset was not seen and its request stayed in the module's queue.

Ruled out: a plain close or reset while a request waits reached the module before this change too, and the module dropped the request; the new test of that passes on the old code and stays as a guard.

At fault: Transport.sockets() left Netty to close at the end of input, and Frontend.Connection.drop() switched reading off. The end of input is now an event: the module hears that the client has gone, the request gets a failure if it had begun and a refusal if not, those sent ahead are refused in their order, and the connection ends. One that floods behind an open request is treated alike.

The crowded listener and the watching module move from BackendsTest to where LeavingTest finds them too.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -148,9 +149,9 @@
         List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
 
-    /** Returns whether any client is still connected: it waits for an answer, or the answer is still being written. */
-    boolean busy() {
-        return !connections.isEmpty();
+    /** Returns the number of clients still connected: they may ask, wait for an answer, or it is still being written. */
+    int connected() {
+        return connections.size();
     }
 
     /** A request that can't be passed on, and the status that says so. */
@@ -175,6 +176,7 @@
         /** Since when nothing is open here: the connect, or the last answer. */
         private long idleSince;
         private boolean used;
+        private boolean left;
         private FullHttpResponse parting;
         private long partedAt = -1;
         private long dropped;
@@ -200,6 +202,28 @@
             super.channelRead(ctx, message);
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+            if (event instanceof ChannelInputShutdownEvent) {
+                left();
+            }
+            super.userEventTriggered(ctx, event);
+        }
+
+        /**
+         * The client sends nothing more: as far as can be told it has gone, and what it has asked for is not worth any
+         * work. It may have ended its sending alone, so each request that it has sent whole is answered all the same.
+         */
+        private void left() {
+            left = true;
+            if (exchange != null) {
+                exchange.giveUp();
+            } else {
+                // After what is still being written.
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
             connections.remove(this);
@@ -329,7 +353,7 @@
             sockets.clientIdle(channel);
             HttpUtil.setKeepAlive(parting, false);
             channel.writeAndFlush(parting).addListener(f -> {
-                if (f.isSuccess() && dropped < DROPPED && channel instanceof SocketChannel socket) {
+                if (f.isSuccess() && !left && dropped < DROPPED && channel instanceof SocketChannel socket) {
                     socket.shutdownOutput();
                 } else {
                     channel.close();
@@ -344,7 +368,8 @@
                 if (partedAt >= 0) {
                     channel.close();
                 } else {
-                    channel.config().setAutoRead(false);
+                    // Unread, what it sends would hide its close; and it does not wait for an answer.
+                    left();
                 }
             }
         }
@@ -445,6 +470,10 @@
             if (connection.exchange != this || !connection.channel.isActive()) {
                 return;
             }
+            if (connection.left) {
+                refused(0);
+                return;
+            }
             Proxy.Incoming incoming;
             try {
                 var uri = new QueryStringDecoder(request.uri());
@@ -551,7 +580,7 @@
                 return;
             }
             boolean keepAlive = HttpUtil.isKeepAlive(request)
-                    && !((closing || sockets.crowded()) && connection.last());
+                    && !((closing || connection.left || sockets.crowded()) && connection.last());
             HttpUtil.setKeepAlive(answer, keepAlive);
             request.release();
             ChannelFuture written = connection.channel.writeAndFlush(answer);
@@ -561,6 +590,14 @@
             connection.answered(keepAlive);
         }
 
+        /** Its client has left, but may still listen. One that has not begun is answered in its turn. */
+        void giveUp() {
+            if (id != null) {
+                proxy.clientGone(id);
+                failed();
+            }
+        }
+
         void clientGone() {
             request.release();
             if (id != null) {
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -179,7 +179,7 @@
         loop.schedule(() -> {
             frontend.stopListening();
             loop.scheduleWithFixedDelay(() -> {
-                if (!frontend.busy()) {
+                if (frontend.connected() == 0) {
                     drained.countDown();
                 }
             }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -196,6 +196,16 @@
         }
     }
 
+    /** Returns the number of requests that want an answer or have attempts out. */
+    int held() {
+        return proxy.open();
+    }
+
+    /** Returns the number of clients' connections. */
+    int connected() {
+        return frontend.connected();
+    }
+
     /** Ends at once, whatever is still open. */
     void stop() {
         loop.submit(() -> discovery.watch(false)).awaitUninterruptibly();
--- a/src/main/java/beechfall/proxy/Transport.java
+++ b/src/main/java/beechfall/proxy/Transport.java
@@ -39,6 +39,8 @@
                 // Up to the end of what has come, as that shows whether the client has gone meanwhile.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE))
+                // The end of what a client sends is no end of what it is owed.
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
         return new Transport(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class), a -> a);
     }
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -7,13 +7,6 @@
 import beechfall.Balancer.Outcome;
 import beechfall.Balancer.Release;
 import beechfall.Balancer.Send;
-import beechfall.Balancer.Watch;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -271,41 +264,20 @@
     /** Rule 3 counts a send from its first byte: one that still waits for its connection must not go out any more. */
     @Test
     void aDrainStopsWhatIsStillConnecting() throws Exception {
-        try (var full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()); var backend = new Peer();
-                var proxy = new Fixture(watching("s1"), backend); var client = proxy.client()) {
-            List<Socket> crowd = fill(full);
-            String address = "127.0.0.1:" + full.getLocalPort();
-            Wire watch = proxy.discovery.accept();
-            watch.read();
-            watch.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s1", address, "ready"))));
-            Wire next = proxy.discovery.accept();
-            next.read();
+        try (var full = new Crowded(); var proxy = new Fixture(Fixture.watching("s1"), Fixture.PATIENT); var client = proxy.client()) {
+            Wire next = proxy.list(Fixture.entry("s1", full.address(), "ready"));
             client.send(Fixture.get("r1"));
             proxy.next(Arrival.class);
-            next.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s1", address, "draining"))));
+            next.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s1", full.address(), "draining"))));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
             assertThat(client.read().status()).isEqualTo(502);
-            for (Socket socket : crowd) {
-                socket.close();
-            }
         }
     }
 
-    private static Fixture.Module watching(String backend) {
-        var asked = new boolean[1];
-        return (event, actions) -> {
-            if (!asked[0]) {
-                asked[0] = true;
-                actions.accept(new Watch(true));
-            }
-            Fixture.sendTo(backend).handle(event, actions);
-        };
-    }
-
     /** The id says which backend it is, the address only where: what was kept open to the old place is not used again. */
     @Test
     void followsABackendToItsNewAddress() throws Exception {
-        try (var old = new Peer(); var moved = new Peer(); var proxy = new Fixture(watching("s0"), 1_024, 60_000_000, old);
+        try (var old = new Peer(); var moved = new Peer(); var proxy = new Fixture(Fixture.watching("s0"), 1_024, 60_000_000, old);
                 var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = old.accept();
@@ -320,19 +292,4 @@
             assertThat(client.send(Fixture.get("r2")).read().body()).isEqualTo("new");
         }
     }
-
-    /** Connects until the queue of a listener that accepts nothing is full: whoever comes next waits. */
-    private static List<Socket> fill(ServerSocket server) throws IOException {
-        var crowd = new ArrayList<Socket>();
-        while (true) {
-            var socket = new Socket();
-            try {
-                socket.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 100);
-                crowd.add(socket);
-            } catch (java.net.SocketTimeoutException e) {
-                socket.close();
-                return crowd;
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/beechfall/proxy/Crowded.java
@@ -0,0 +1,41 @@
+package beechfall.proxy;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A listener that accepts nothing, and whose queue is full: whoever connects to it waits. */
+final class Crowded implements Closeable {
+    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    private final List<Socket> crowd = new ArrayList<>();
+
+    Crowded() throws IOException {
+        while (true) {
+            var socket = new Socket();
+            try {
+                socket.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 100);
+                crowd.add(socket);
+            } catch (java.net.SocketTimeoutException e) {
+                socket.close();
+                return;
+            }
+        }
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket socket : crowd) {
+            socket.close();
+        }
+        server.close();
+    }
+}
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 
 /** A proxy on loopback, with a module that does as the test says and keeps what it was told. */
 final class Fixture implements Closeable {
@@ -40,10 +41,15 @@
 
 
     final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    final BlockingQueue<Balancer.Send> sends = new LinkedBlockingQueue<>();
     final Peer discovery = new Peer();
     private final Serve serve;
     final InetSocketAddress address;
 
+    /** Settings under which nothing that a test waits for runs out of time: only what it does itself brings an end. */
+    static final UnaryOperator<String> PATIENT = config -> config.replaceAll("(aim|deadline|window)_us\":\\d+", "$1_us\":60000000")
+            .replace("connect_timeout_us\":200000", "connect_timeout_us\":60000000");
+
     /** Does as the module would: gets the events, and says what is to be done. */
     interface Module {
         void handle(Event event, Consumer<Action> actions);
@@ -54,25 +60,39 @@
     }
 
     Fixture(Module module, int sockets, long idleUs, Peer... backends) throws Exception {
-        this(settings -> (now, event, actions) -> module.handle(event, actions), sockets, idleUs, backends);
+        this(settings -> (now, event, actions) -> module.handle(event, actions), sockets, idleUs, c -> c, backends);
+    }
+
+    /** A proxy whose configuration is another; see {@link #PATIENT}. */
+    Fixture(Module module, UnaryOperator<String> edit, Peer... backends) throws Exception {
+        this(settings -> (now, event, actions) -> module.handle(event, actions), 1_024, 15_000_000, edit, backends);
     }
 
     /** A proxy with the module that it has in service. */
     static Fixture inService(Peer... backends) throws Exception {
-        return new Fixture(Policy::new, 1_024, 15_000_000, backends);
+        return inService(c -> c, backends);
     }
 
-    private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Peer... backends)
-            throws Exception {
+    static Fixture inService(UnaryOperator<String> edit, Peer... backends) throws Exception {
+        return new Fixture(Policy::new, 1_024, 15_000_000, edit, backends);
+    }
+
+    private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs,
+            UnaryOperator<String> edit, Peer... backends) throws Exception {
         var servers = new StringBuilder();
         for (int i = 0; i < backends.length; i++) {
             servers.append(i == 0 ? "" : ",").append(entry("s" + i, backends[i].address(), "ready"));
         }
-        Config config = Config.parse(json(CONFIG.formatted(discovery.address(), sockets, servers, idleUs)));
+        Config config = Config.parse(json(edit.apply(CONFIG.formatted(discovery.address(), sockets, servers, idleUs))));
         Balancer module = factory.apply(config.settings());
         serve = new Serve(config, (now, event, actions) -> {
             events.add(event);
-            module.handle(now, event, actions);
+            module.handle(now, event, action -> {
+                if (action instanceof Balancer.Send send) {
+                    sends.add(send);
+                }
+                actions.accept(action);
+            });
         });
         address = serve.start();
     }
@@ -124,12 +144,39 @@
         };
     }
 
+    /** As {@link #sendTo}, by the list that discovery tells; see {@link #list}. */
+    static Module watching(String backend) {
+        var asked = new boolean[1];
+        return (event, actions) -> {
+            if (!asked[0]) {
+                asked[0] = true;
+                actions.accept(new Balancer.Watch(true));
+            }
+            sendTo(backend).handle(event, actions);
+        };
+    }
+
+    /** Answers the first call of the watch with a change, and waits for the next. */
+    Wire list(String... entries) throws IOException {
+        Wire watch = discovery.accept();
+        watch.read();
+        watch.send(Peer.ok(list(42, false, entries)));
+        Wire next = discovery.accept();
+        next.read();
+        return next;
+    }
+
     /** A client's request, as the protocol has it. */
     static String get(String id) {
         return "GET /api?k=u1 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id
                 + "\r\nX-Priority-Class: read\r\nX-Tenant-Id: acme\r\nX-Timeout: 1900m\r\n\r\n";
     }
 
+    /** A request whose client waits for longer than any test. */
+    static String patient(String id) {
+        return get(id).replace("1900m", "60000m");
+    }
+
     static String post(String id, String body) {
         return "POST /api?k=u%201&x HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id
                 + "\r\nX-Priority-Class: pay\r\nX-Tenant-Id: acme\r\nX-Timeout: 1900m\r\nIdempotency-Key: 5c0f"
@@ -140,6 +187,13 @@
         return Wire.to(address);
     }
 
+    /** Waits until the proxy has handled all that came to it before. */
+    void settle() throws IOException {
+        try (Wire asker = client()) {
+            asker.send("GET /ready HTTP/1.1\r\n\r\n").read();
+        }
+    }
+
     /** Waits for the next event of a type. */
     <T extends Event> T next(Class<T> type) throws InterruptedException {
         while (true) {
@@ -150,6 +204,16 @@
         }
     }
 
+    /** Returns the number of requests that want an answer or have attempts out. */
+    int held() {
+        return serve.held();
+    }
+
+    /** Returns the number of clients' connections. */
+    int connected() {
+        return serve.connected();
+    }
+
     void drain() {
         serve.drain();
     }
--- /dev/null
+++ b/src/test/java/beechfall/proxy/LeavingTest.java
@@ -0,0 +1,140 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Arrival;
+import beechfall.Balancer.AttemptEnded;
+import beechfall.Balancer.ClientGone;
+import beechfall.Balancer.Outcome;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients that leave while their requests wait, and those that only end their sending. */
+class LeavingTest {
+    private static final Fixture.Module SILENT = (event, actions) -> { };
+
+    private static void leave(Wire client, boolean reset) throws IOException {
+        if (reset) {
+            client.socket.setSoLinger(true, 0);
+        }
+        client.close();
+    }
+
+    /** With the module that is in service: what is left of the queue is sent when there is room, and the rest is not. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRequestWhoseClientLeavesWhileItWaitsIsNotSentOn(boolean reset) throws Exception {
+        var clients = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = Fixture.inService(Fixture.PATIENT, backend)) {
+            var attempts = new ArrayList<Wire>();
+            for (int i = 0; clients.size() < proxy.sends.size() + 2; i++) {
+                clients.add(proxy.client().send(Fixture.patient("r" + i)));
+                proxy.next(Arrival.class);
+                proxy.settle();
+            }
+            List<String> sent = proxy.sends.stream().map(s -> s.id()).toList();
+            for (int i = 0; i < sent.size(); i++) {
+                attempts.add(backend.accept());
+            }
+            int waiting = 0;
+            while (sent.contains("r" + waiting)) {
+                waiting++;
+            }
+            leave(clients.get(waiting), reset);
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r" + waiting);
+            var served = new ArrayList<String>(sent);
+            for (int i = 0; i < attempts.size(); i++) {
+                Wire attempt = attempts.get(i);
+                attempt.read();
+                attempt.send(Peer.answer("200 OK", "x", "Connection: close"));
+                proxy.next(AttemptEnded.class);
+                proxy.settle();
+                while (served.size() < proxy.sends.size()) {
+                    served.add(List.copyOf(proxy.sends).get(served.size()).id());
+                    attempts.add(backend.accept());
+                }
+            }
+            assertThat(served).hasSize(clients.size() - 1).doesNotContain("r" + waiting).doesNotHaveDuplicates();
+            // Nothing is kept of it: not its place, nor its connection, nor a timer that would answer it.
+            assertThat(proxy.held()).isZero();
+            Peer.until(() -> proxy.connected() == clients.size() - 1);
+        } finally {
+            for (Wire client : clients) {
+                client.close();
+            }
+        }
+    }
+
+    /** An attempt that is out goes on where it may not be called off; its answer is nobody's. */
+    @Test
+    void whatIsOutGoesOnWhereItMayNotBeCalledOff() throws Exception {
+        try (var backend = new Peer(); var proxy = Fixture.inService(
+                c -> Fixture.PATIENT.apply(c).replace("\"cancel\":true", "\"cancel\":false"), backend)) {
+            Wire attempt;
+            try (var client = proxy.client()) {
+                client.send(Fixture.patient("r1"));
+                attempt = backend.accept();
+                attempt.read();
+            }
+            proxy.next(ClientGone.class);
+            attempt.send(Peer.ok("x"));
+            AttemptEnded end = proxy.next(AttemptEnded.class);
+            assertThat(end.outcome()).isEqualTo(Outcome.OK);
+            assertThat(end.last()).isTrue();
+            proxy.settle();
+            assertThat(proxy.held()).isZero();
+        }
+    }
+
+    /** What a client sends behind its request hides neither its close nor its reset. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aClientThatFloodsAndLeavesIsNoticed(boolean reset) throws Exception {
+        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+            client.send(Fixture.patient("r1") + "RUBBISH\r\n\r\n");
+            proxy.next(Arrival.class);
+            String more = "x".repeat(65_536);
+            try {
+                for (int i = 0; i < 16; i++) {
+                    client.send(more);
+                }
+            } catch (IOException e) {
+                // It may be cut off before all of it is written.
+            }
+            leave(client, reset);
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r1");
+            Peer.until(() -> proxy.connected() == 0);
+        }
+    }
+
+    /** It sends nothing more, and may have gone; but it may still read, and is owed one whole answer. */
+    @Test
+    void aClientThatEndsItsSendingIsAnswered() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.patient("r1"));
+            backend.accept().read();
+            client.socket.shutdownOutput();
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(client.ended()).isTrue();
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r1");
+        }
+    }
+
+    /** Its requests are answered in their order, also those sent ahead; what has not begun has run nowhere. */
+    @Test
+    void aClientThatSendsAheadAndEndsItsSendingIsAnswered() throws Exception {
+        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+            client.send(Fixture.patient("r1") + Fixture.patient("r2"));
+            proxy.next(Arrival.class);
+            client.socket.shutdownOutput();
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(client.read().status()).isEqualTo(503);
+            assertThat(client.ended()).isTrue();
+            assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
+        }
+    }
+}
--- a/src/test/java/beechfall/proxy/Peer.java
+++ b/src/test/java/beechfall/proxy/Peer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /** A backend, or discovery, played by hand: the test accepts its connections and says what goes over them. */
 final class Peer implements Closeable {
@@ -67,6 +68,17 @@
         return next;
     }
 
+    /** Waits until something holds that no message tells of. */
+    static void until(BooleanSupplier holds) throws InterruptedException {
+        long from = System.nanoTime();
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() - from > 10_000_000_000L) {
+                throw new AssertionError("it never came to that");
+            }
+            Thread.sleep(1);
+        }
+    }
+
     interface Work {
         void run() throws IOException;
     }
