Drop an attempt that still connects when its client leaves

Seen in the review: where the settings forbid to cancel, the module calls nothing off when a client leaves, and an attempt that was still waiting for its connection was written whenever that came up, up to the connect time-out later. Nothing had been sent, so there was nothing to cancel.

Ruled out: attempts whose last byte is written go on as before and follow the cancel rule (a test shows it).

At fault: Proxy.clientGone() and overdue() left such attempts alone.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -270,6 +270,11 @@
             promise.addListener((Future<Channel> f) -> connected(f));
         }
 
+        /** Returns whether its last byte has been written: only then may it have run. */
+        boolean written() {
+            return written;
+        }
+
         private void connected(Future<Channel> f) {
             connecting = null;
             if (!f.isSuccess()) {
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -109,17 +109,26 @@
         Request r = requests.get(id);
         if (r != null && !r.over) {
             over(r);
-            deliver(new Balancer.ClientGone(id));
-            forget(r);
+            left(r);
         }
     }
 
+    /** Nothing more is owed to a client. What has not gone out whole need not, even where the module may cancel nothing. */
+    private void left(Request r) {
+        deliver(new Balancer.ClientGone(r.incoming.id()));
+        List.copyOf(r.attempts).forEach(a -> {
+            if (a != null && !a.written()) {
+                a.abort(Outcome.NOT_SENT);
+            }
+        });
+        forget(r);
+    }
+
     /** Guards against a module that never answers: whatever happens, the client hears of its request in time. */
     private void overdue(Request r) {
         if (!r.over) {
             answer(r, Reply::failed);
-            deliver(new Balancer.ClientGone(r.incoming.id()));
-            forget(r);
+            left(r);
         }
     }
 
--- a/src/test/java/beechfall/proxy/LeavingTest.java
+++ b/src/test/java/beechfall/proxy/LeavingTest.java
@@ -69,6 +69,25 @@
         }
     }
 
+    /** An attempt that still waits for its connection has not been sent: it is dropped even where none may be called off. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whatStillConnectsIsNotSentForAClientThatHasLeft(boolean reset) throws Exception {
+        try (var full = new Crowded(); var proxy = new Fixture(Fixture.watching("s1"), Fixture.PATIENT.andThen(
+                c -> c.replace("\"cancel\":true", "\"cancel\":false"))::apply); var client = proxy.client()) {
+            proxy.list(Fixture.entry("s1", full.address(), "ready"));
+            client.send(Fixture.patient("r1"));
+            proxy.next(Arrival.class);
+            leave(client, reset);
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r1");
+            AttemptEnded end = proxy.next(AttemptEnded.class);
+            assertThat(end.outcome()).isEqualTo(Outcome.NOT_SENT);
+            assertThat(end.last()).isTrue();
+            proxy.settle();
+            assertThat(proxy.held()).isZero();
+        }
+    }
+
     /** An attempt that is out goes on where it may not be called off; its answer is nobody's. */
     @Test
     void whatIsOutGoesOnWhereItMayNotBeCalledOff() throws Exception {
