Refuse what begins once a draining proxy has failed all that was open

Seen in the review: 50 ms before its end a draining proxy fails all that is open. A request that a client had sent ahead began just then, as the answer before it was given, and one that came in those 50 ms did too; the process ended with both taken and unanswered, which loses them.

Ruled out: connections that hold no request are closed by then, and the listener is.

At fault: Proxy.failAll() failed what it knew at that moment alone. From then on whatever begins is refused at once.

--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -66,6 +66,7 @@
     private final List<Action> actions = new ArrayList<>();
     private Discovery discovery;
     private boolean handling;
+    private boolean ending;
 
     Proxy(Clock clock, EventLoop loop, Log log, Balancer.Settings settings, Balancer module, Backends backends) {
         this.clock = clock;
@@ -93,6 +94,10 @@
 
     void arrived(Incoming incoming, Reply reply) {
         long now = clock.now();
+        if (ending) {
+            reply.refused(0);
+            return;
+        }
         if (now >= incoming.deadlineUs()) {
             reply.failed();
             return;
@@ -132,8 +137,9 @@
         }
     }
 
-    /** The process is about to end: whatever still waits is answered now, or it would be lost. */
+    /** The process is about to end: whatever still waits, or comes, is answered now, or it would be lost. */
     void failAll() {
+        ending = true;
         List.copyOf(requests.values()).forEach(this::overdue);
     }
 
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -78,9 +78,8 @@
     /** The end comes for whoever is left, too: nothing that was taken goes without an answer. */
     @Test
     void failsWhatIsStillOpenWhenItHasToEnd() throws Exception {
-        String patient = Fixture.get("r1").replace("X-Timeout: 1900m", "X-Timeout: 90000m");
         try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
-            client.send(patient);
+            client.send(Fixture.patient("r1"));
             backend.accept().read();
             CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
             assertThat(client.read().status()).isEqualTo(502);
@@ -88,6 +87,20 @@
         }
     }
 
+    /** What a client has sent ahead begins only when all else has been failed: it is owed an answer as well. */
+    @Test
+    void answersWhatBeginsWhenItHasToEnd() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.patient("r1") + Fixture.patient("r2"));
+            backend.accept().read();
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(client.read().status()).isEqualTo(503);
+            assertThat(client.ended()).isTrue();
+            drained.get(10, TimeUnit.SECONDS);
+        }
+    }
+
     private static boolean listens(Fixture proxy) {
         try {
             proxy.client().close();
