Notice a silent watch before what it misses binds, and ask an agent often

Where lists are pushed, what an agent hears at the end of its own silence counts at once, and a call made meanwhile was waited for as long.

Ruled out: calls that break, are refused or bring no list are told at once already.

At fault: SILENCE_MS, one figure for a service that may have a queue and for an agent that answers at once; and a wait that grew with the number of proxies where each has an agent of its own. The two new tests fail without the change.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -38,14 +38,19 @@
     private static final String PATH = "/v1/endpoints";
     private static final int MAX_ANSWER = 8 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    /** An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. */
-    private static final long SILENCE_MS = 3_500;
+    /**
+     * An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. What it has
+     * to tell counts as told 2 s after the wait. A service that all proxies share may have a queue; an agent answers at
+     * once, and what it hears after a silence of its own counts as told right then.
+     */
+    private static final long SERVICE_SILENCE_MS = 2_000;
+    private static final long AGENT_SILENCE_MS = 600;
     private static final long MOST_HOLD_MS = 60_000;
     private static final long LEAST_HOLD_MS = 1_500;
     /** Each empty answer is work for a service that all proxies share: so long for each of them. */
     private static final long HOLD_FOR_EACH_MS = 500;
     private static final long NO_NEWS_MS = 50;
-    private static final long AGENT_RETRY_MS = 200;
+    private static final long AGENT_RETRY_MS = 100;
     private static final Map<String, Balancer.State> STATES = Map.of(
             "ready", Balancer.State.READY,
             "draining", Balancer.State.DRAINING,
@@ -58,6 +63,7 @@
     private InetSocketAddress address;
     private final boolean pushed;
     private final long holdMs;
+    private final long silenceMs;
     private final SplittableRandom random;
     private Call watch;
     private boolean wanted;
@@ -73,9 +79,10 @@
         this.address = address;
         this.random = new SplittableRandom(settings.seed());
         this.pushed = !settings.limits().listMustBeAsked();
+        this.silenceMs = pushed ? AGENT_SILENCE_MS : SERVICE_SILENCE_MS;
         // A call whose other end has vanished looks like one that waits: until its answer is overdue no news comes.
         // Never more than twice the time within which a proxy has to ask.
-        long share = Math.max(LEAST_HOLD_MS, HOLD_FOR_EACH_MS * settings.balancers());
+        long share = pushed ? LEAST_HOLD_MS : Math.max(LEAST_HOLD_MS, HOLD_FOR_EACH_MS * settings.balancers());
         this.holdMs = Math.min(Math.min(MOST_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
     }
 
@@ -211,7 +218,7 @@
             this.waitMs = waitMs;
             uri = watching && version >= 0 ? PATH + "?from=" + version + "&hold_ms=" + waitMs : PATH;
             // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
-            timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
+            timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + silenceMs, TimeUnit.MILLISECONDS);
             ChannelFuture connect = transport.client().clone()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<Channel>() {
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -7,8 +7,11 @@
 import beechfall.Balancer.Fetch;
 import beechfall.Balancer.ListKind;
 import beechfall.Balancer.Members;
+import beechfall.Balancer.SetTimer;
 import beechfall.Balancer.State;
 import beechfall.Balancer.Watch;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -116,6 +119,53 @@
         }
     }
 
+    /** As {@link #watcher}; a timer runs from the first list of a kind on. */
+    private static Fixture.Module watcher(ListKind from, long timerMs) {
+        var set = new boolean[1];
+        return (event, actions) -> {
+            watcher().handle(event, actions);
+            if (!set[0] && event instanceof Members m && m.kind() == from) {
+                set[0] = true;
+                long now = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+                actions.accept(new SetTimer(now + timerMs * 1_000, "told"));
+            }
+        };
+    }
+
+    /**
+     * What a silent watch misses counts as told 2 s after its wait, and binds 1 s later. The wait is 1.1 s at least; that
+     * the watch is over must come before a timer which is set as it begins, to 3 s after that.
+     */
+    @Test
+    void asksAnewBeforeThatBindsWhichASilentWatchMisses() throws Exception {
+        try (var proxy = new Fixture(watcher(ListKind.DELTA, 4_100))) {
+            Wire first = proxy.discovery.accept();
+            first.read();
+            first.send(Peer.ok(Fixture.list(42, false)));
+            proxy.discovery.accept().read();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.DELTA);
+            Event next = Peer.next(proxy.events);
+            assertThat(next).isEqualTo(new Members(ListKind.FAILED, List.of()));
+        }
+    }
+
+    /** An agent of the proxy's own machine answers at once, and costs nothing: neither its silence nor a wait is long. */
+    @Test
+    void anAgentIsAskedOftenAndAnewWhenItIsSilent() throws Exception {
+        try (var proxy = new Fixture(watcher(ListKind.CACHED, 2_500),
+                c -> c.replace("on_request", "pushed").replace("\"balancers\":2", "\"balancers\":100"))) {
+            proxy.discovery.accept().read();
+            Wire again = proxy.discovery.accept();
+            assertThat(again.read().first()).contains("from=41&hold_ms=0");
+            again.send(Peer.ok(Fixture.list(42, false)));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
+            Event next = Peer.next(proxy.events);
+            assertThat(next).isEqualTo(new Members(ListKind.DELTA, List.of()));
+            assertThat(proxy.discovery.accept().read().first()).matches("GET /v1/endpoints\\?from=42&hold_ms=1[1-5]\\d{2} HTTP/1.1");
+        }
+    }
+
     /** One entry that makes no sense must not cost the others. */
     @Test
     void leavesMalformedEntriesOut() throws Exception {
