Leave connections that this side has closed out of what resets teach

Seen in the review: when an attempt times out or is called off its connection is closed, and the close came back as a connection that had ended without a byte, which taught the idle limit that a connection used again is reset. Two time-outs at a backend that hangs now and then were enough to keep no connection for longer than that, and each new one costs the backend a handshake.

Ruled out: resets by the other side are learned as before (their test stays).

At fault: Backends.Connection.channelInactive() did not ask whether the attempt had ended already.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -474,7 +474,10 @@
             if (attempt != null) {
                 Attempt a = attempt;
                 attempt = null;
-                idleLimit.learn(idledUs, decoder.bytes() == 0);
+                if (!a.ended) {
+                    // One that this side has given up tells nothing of what lies behind the connection.
+                    idleLimit.learn(idledUs, decoder.bytes() == 0);
+                }
                 a.end(a.written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
             }
             super.channelInactive(ctx);
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -104,6 +104,31 @@
         }
     }
 
+    /** What this side gives up is no reset: a backend that hangs now and then keeps its connections in use. */
+    @Test
+    void aTimeOutTellsNothingOfIdleConnections() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", a.id().startsWith("hangs") ? 30_000 : 0));
+            } else {
+                Fixture.sendTo("s0").handle(event, actions);
+            }
+        }, backend); var client = proxy.client()) {
+            for (int i = 0; i < 8; i++) {
+                client.send(Fixture.get("r" + i));
+                Wire attempt = backend.accept();
+                attempt.read();
+                attempt.send(OK_X);
+                assertThat(client.read().status()).isEqualTo(200);
+                settle();
+                client.send(Fixture.get("hangs" + i));
+                assertThat(attempt.read().header("X-Request-ID")).isEqualTo("hangs" + i);
+                assertThat(client.read().status()).isEqualTo(502);
+                assertThat(attempt.ended()).isTrue();
+            }
+        }
+    }
+
     /** The request has run, and no answer that can be believed will follow: that is told now, not when time is up. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
