Send a request again only where it must begin within its window

Seen in the review: a request that may have run may go out again for a time after its first send, and on sockets a send counts from its first byte. The module compared the time at which it decides; a new connection may take up to the connect time-out longer, so the second send could begin past the window and break the rule on duplicates.

Ruled out: the group was right already, and the first send only ever begins after the module has noted it.

At fault: Policy.effectAllows() knew no connect time-out. The settings tell it, and it is read for the module as well. The ledger of rules checks the stricter bound for drawn settings. Both tests fail without the change.

--- a/src/main/java/beechfall/Balancer.java
+++ b/src/main/java/beechfall/Balancer.java
@@ -63,12 +63,16 @@
         }
     }
 
-    /** What the proxy may do. {@code listMustBeAsked}: the list comes only after {@link Watch} or {@link Fetch}. */
+    /**
+     * What the proxy may do. {@code listMustBeAsked}: the list comes only after {@link Watch} or {@link Fetch}. An attempt
+     * begins up to {@code connectTimeoutUs} after it was asked for, or not at all.
+     */
     record Limits(boolean cancel, boolean secondCopies, boolean probes, boolean listMustBeAsked, int maxAttempts,
-            long maxRetryAfterUs) {
+            long maxRetryAfterUs, long connectTimeoutUs) {
         public Limits {
             require(maxAttempts >= 1, "max attempts");
             require(maxRetryAfterUs >= 0, "max retry-after");
+            require(connectTimeoutUs >= 0, "connect time-out");
         }
     }
 
--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -479,11 +479,11 @@
         return s.whole.out < Math.max(1, Math.ceil(s.weight * (outstanding + 1)));
     }
 
-    /** Rule 2: a request that may have run goes only where its class lets it run again. */
+    /** Rule 2: a request that may have run goes only where its class lets it run again, and in time to begin there. */
     private boolean effectAllows(Server s, Request r) {
         return r.attempts.isEmpty() || r.type.effect() == Effect.SAFE || r.attempts.stream().allMatch(a ->
-                !mayHaveRun(a) || r.type.effect() == Effect.KEYED && now < a.sentAt + r.type.windowUs()
-                && sameGroup(r.type.scope(), a.sentTo, s.listed));
+                !mayHaveRun(a) || r.type.effect() == Effect.KEYED
+                && now + settings.limits().connectTimeoutUs() < a.sentAt + r.type.windowUs() && sameGroup(r.type.scope(), a.sentTo, s.listed));
     }
 
     /** Rule 5: where 'full' is no proof, it counts as any other failure, for sends and refusals alike. */
--- a/src/test/java/beechfall/CrowdTest.java
+++ b/src/test/java/beechfall/CrowdTest.java
@@ -65,7 +65,7 @@
     @Test
     void aRefusalTellsWhenThereMayBeRoom() {
         long most = 700 * MS;
-        var p = new Proxy(Proxy.settings(new Balancer.Limits(true, false, false, false, 4, most), RULES));
+        var p = new Proxy(Proxy.settings(new Balancer.Limits(true, false, false, false, 4, most, 0), RULES));
         p.list(backend("a"));
         for (int i = 0; i < 20; i++) {
             p.arrive(READ);
--- a/src/test/java/beechfall/EmbeddingTest.java
+++ b/src/test/java/beechfall/EmbeddingTest.java
@@ -11,7 +11,7 @@
 class EmbeddingTest {
     private static final Balancer.RequestClass READ = new Balancer.RequestClass("read", 600_000, 2_000_000, 1, 0,
             Balancer.Effect.SAFE, Balancer.Scope.ALL, 0);
-    private static final Balancer.Limits LIMITS = new Balancer.Limits(true, false, false, false, 4, 0);
+    private static final Balancer.Limits LIMITS = new Balancer.Limits(true, false, false, false, 4, 0, 0);
     private static final Balancer.Rules RULES = new Balancer.Rules(0.4, 8_000_000, 4, 1_000_000, 10_000_000, false);
 
     @Test
--- a/src/test/java/beechfall/LedgerTest.java
+++ b/src/test/java/beechfall/LedgerTest.java
@@ -108,7 +108,7 @@
             settings = new Settings(1 + random.nextInt(4), 0, "a", TICK, classes, random.nextBoolean() ? List.of()
                     : List.of(new Tenant("t", 50)), 0.1, false,
                     new Limits(random.nextBoolean(), random.nextBoolean(), random.nextBoolean(), random.nextBoolean(),
-                            1 + random.nextInt(5), 1_000_000),
+                            1 + random.nextInt(5), 1_000_000, random.nextInt(200_000)),
                     new Rules(0.3, 8_000_000, 3, 1_000_000 + random.nextInt(2_000_000), 10_000_000,
                             random.nextBoolean()), seed);
             policy = new Policy(settings);
@@ -245,7 +245,7 @@
                 assertThat(settings.limits().secondCopies() || t.outcome != null).isTrue();
                 if (t.mayHaveRun(settings.rules()) && r.type.effect() != Effect.SAFE) {
                     assertThat(r.type.effect()).isEqualTo(Effect.KEYED);
-                    assertThat(now).isLessThan(t.sentAt + r.type.windowUs());
+                    assertThat(now + settings.limits().connectTimeoutUs()).isLessThan(t.sentAt + r.type.windowUs());
                     assertThat(switch (r.type.scope()) {
                         case ALL -> true;
                         case ZONE -> t.sentTo.zone().equals(to.zone());
--- a/src/test/java/beechfall/Proxy.java
+++ b/src/test/java/beechfall/Proxy.java
@@ -43,7 +43,7 @@
             new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0);
 
     /** No hints when to come back: a refusal then equals any other. */
-    static final Limits LIMITS = new Limits(true, false, false, false, 4, 0);
+    static final Limits LIMITS = new Limits(true, false, false, false, 4, 0, 0);
     static final Rules RULES = new Rules(0.4, 8 * S, 4, S, 10 * S, false);
 
     final Policy policy;
--- a/src/test/java/beechfall/RulesTest.java
+++ b/src/test/java/beechfall/RulesTest.java
@@ -84,7 +84,7 @@
 
         @Test
         void withoutLeaveToCancelNothingIsCancelled() {
-            var p = new Proxy(Proxy.settings(new Limits(false, false, false, false, 4, 0), RULES));
+            var p = new Proxy(Proxy.settings(new Limits(false, false, false, false, 4, 0, 0), RULES));
             p.list(backend("a"));
             String id = p.arrive(READ);
             assertThat(p.feed(new ClientGone(id))).isEmpty();
@@ -175,6 +175,25 @@
             assertThat(p.sends(id)).isEqualTo(1);
         }
 
+        /** A send counts from its first byte, and a new connection may take up to the connect time-out to come up. */
+        @Test
+        void aKeyedRequestIsNotSentAgainWhereItMayBeginPastItsWindow() {
+            long connectUs = 200 * MS;
+            var shortWindow = new Balancer.RequestClass("pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED,
+                    Balancer.Scope.ZONE, 400 * MS);
+            var p = new Proxy(new Balancer.Settings(1, 0, "a", MS, List.of(shortWindow), List.of(), 1, false,
+                    new Limits(true, false, false, false, 4, 0, connectUs), RULES, 1));
+            p.list(backend("a"), backend("b"), backend("c"));
+            String late = p.arrive(shortWindow);
+            String soon = p.arrive(shortWindow);
+            p.now += shortWindow.windowUs() - connectUs - 1;
+            p.end(soon, Outcome.RESET, 0);
+            assertThat(p.sends(soon)).isEqualTo(2);
+            p.now += 1;
+            assertThat(p.end(late, Outcome.RESET, 0)).contains(new Fail(late));
+            assertThat(p.sends(late)).isEqualTo(1);
+        }
+
         @Test
         void aKeyedRequestOfAZoneThatMayHaveRunIsFailedNotRefused() {
             proxy.list(backend("a"));
@@ -319,7 +338,7 @@
 
         @Test
         void aListThatMustBeAskedForIsAskedForAtOnceAndAgainAfterAFailure() {
-            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0), RULES));
+            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
             assertThat(p.feed(new Members(ListKind.CACHED, List.of(backend("a"))))).contains(new Watch(true));
             List<Action> after = p.feed(new Members(ListKind.FAILED, List.of()));
             SetTimer timer = (SetTimer) after.get(0);
@@ -331,9 +350,9 @@
 
         @Test
         void proxiesDoNotAskAgainInStep() {
-            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0), RULES));
+            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
             var q = new Proxy(new Balancer.Settings(1, 0, "a", MS, List.of(READ), List.of(), 1, false,
-                    new Limits(true, false, false, true, 4, 0), RULES, 8));
+                    new Limits(true, false, false, true, 4, 0, 0), RULES, 8));
             assertThat(p.feed(new Members(ListKind.FAILED, List.of())))
                     .doesNotContainAnyElementsOf(q.feed(new Members(ListKind.FAILED, List.of())).stream()
                             .filter(a -> a instanceof SetTimer t && t.atUs() != q.now + RULES.askWithinUs()).toList());
--- a/src/test/java/beechfall/wire/HostTest.java
+++ b/src/test/java/beechfall/wire/HostTest.java
@@ -18,7 +18,7 @@
 /** The wire: round trips, several instances, and plain messages about malformed input. */
 class HostTest {
     private static final String SETUP = "balancers=3 rank=2 bounds.cancel=true bounds.may_duplicate=false bounds.most_tries=4 "
-            + "bounds.probes=false bounds.max_retry_after_us=2000000 registry_mode=on_request locality=skoyen "
+            + "bounds.probes=false bounds.max_retry_after_us=2000000 bounds.connect_timeout_us=150000 registry_mode=on_request locality=skoyen "
             + "quantum_us=4000 invariants.cold_from=0.4 invariants.cold_us=8100000 invariants.fall_multiple=4.0 "
             + "invariants.fall_us=1000000 invariants.full_unproven=true invariants.must_ask_in_us=10000000 over_share_worth=0.05 "
             + "profiles.count=1 profiles.0.name=pay profiles.0.aim_us=400000 profiles.0.deadline_us=2000000 "
@@ -75,7 +75,7 @@
                 List.of(new Balancer.RequestClass("pay", 400000, 2000000, 10, 0, Balancer.Effect.KEYED,
                         Balancer.Scope.ZONE, 1200000)),
                 List.of(new Balancer.Tenant("vest", 277)), 0.05, true,
-                new Balancer.Limits(true, false, false, true, 4, 2000000),
+                new Balancer.Limits(true, false, false, true, 4, 2000000, 150000),
                 new Balancer.Rules(0.4, 8100000, 4, 1000000, 10000000, true), 5192));
     }
 
