Let no client in before an agent has said what changed since the last life

A proxy that came back listened at once and sent by the list of its last life until the first call was answered. A start takes about a second, which is all the grace there is, and a cold loop may read a row of clients before that answer.

Ruled out: while discovery is down the agent knows nothing either; the first call fails after 0.6 s and the proxy serves by its old list, as before. Where the list is asked for, it counts as told when it is written: no change there.

At fault: Serve.listen() bound its port beside the first call. Clients that come sooner are refused the connection, and are free to turn elsewhere. The test fails without the change.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -68,11 +69,12 @@
     private Call watch;
     private boolean wanted;
     private long version = -1;
-    private boolean heard;
+    private final Promise<Void> heard;
 
     Discovery(Transport transport, Log log, Proxy proxy, InetSocketAddress address,
             Balancer.Settings settings) {
         this.loop = transport.loop();
+        this.heard = loop.newPromise();
         this.transport = transport;
         this.log = log;
         this.proxy = proxy;
@@ -86,11 +88,16 @@
         this.holdMs = Math.min(Math.min(MOST_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
     }
 
-    /** Returns whether a first call has ended: until then the list is as old as the last life of this proxy. */
-    boolean heard() {
+    /** Ends when a first call has: until then the list is as old as the last life of this proxy. */
+    Future<Void> heard() {
         return heard;
     }
 
+    /** Returns whether there is an agent, which answers at once; what it has counts as told before it is asked. */
+    boolean pushed() {
+        return pushed;
+    }
+
     /** Takes in the list that this proxy had in its last life, if any; the module begins with this. */
     void known(JsonNode list) {
         if (list != null) {
@@ -144,8 +151,8 @@
             fetch();
             return;
         }
-        heard = true;
         if (list == null) {
+            heard.trySuccess(null);
             watch = call == watch ? null : watch;
             failed();
             return;
@@ -161,6 +168,7 @@
             }
         }
         take(list.path("full").asBoolean() ? ListKind.FULL : ListKind.DELTA, list);
+        heard.trySuccess(null);
     }
 
     private void goOn(Call answered) {
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -54,7 +54,7 @@
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(transport, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
-        frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.heard() && backends.anyReady());
+        frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.heard().isDone() && backends.anyReady());
     }
 
     /**
@@ -134,6 +134,10 @@
 
     ChannelFuture listen() {
         loop.execute(() -> discovery.known(config.known()));
+        if (discovery.pushed()) {
+            // What has changed since the last life binds from the first moment: no client is let in before it is heard.
+            discovery.heard().awaitUninterruptibly();
+        }
         return frontend.listen(transport, config.listen());
     }
 
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -10,6 +10,8 @@
 import beechfall.Balancer.SetTimer;
 import beechfall.Balancer.State;
 import beechfall.Balancer.Watch;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
@@ -166,6 +168,49 @@
         }
     }
 
+    /** What an agent has binds a new process from its start: no request may go by the list of its last life alone. */
+    @Test
+    void letsNobodyInBeforeAnAgentHasSpoken() throws Exception {
+        int port;
+        try (var free = new Peer()) {
+            port = free.port();
+        }
+        try (var discovery = new Peer(); var backend = new Peer()) {
+            Peer.background(() -> {
+                Wire call = discovery.accept();
+                call.read();
+                boolean letIn = false;
+                for (int i = 0; i < 50 && !letIn; i++) {
+                    letIn = letsIn(port);
+                }
+                call.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s0", backend.address(), "draining"))));
+            });
+            try (var proxy = new Fixture((event, actions) -> { }, c -> c.replace("on_request", "pushed")
+                    .replace("127.0.0.1:0", "127.0.0.1:" + port).replaceFirst("discovery\":\"[^\"]+", "discovery\":\""
+                    + discovery.address()), backend)) {
+                assertThat(proxy.events).extracting(e -> ((Members) e).kind()).containsExactly(ListKind.CACHED, ListKind.DELTA);
+            }
+        }
+    }
+
+    private static boolean letsIn(int port) {
+        try {
+            Wire.to(new InetSocketAddress(port)).close();
+            return true;
+        } catch (IOException e) {
+            trickle();
+            return false;
+        }
+    }
+
+    private static void trickle() {
+        try {
+            Thread.sleep(1);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** One entry that makes no sense must not cost the others. */
     @Test
     void leavesMalformedEntriesOut() throws Exception {
