Count a client's connection as idle only once its answer has gone out

Seen in the review: a connection counted as idle from the moment its answer was handed over for writing. To make room in a crowd, and when a draining proxy closes its idle connections, it could be closed with part of the answer unsent: a request that is lost, as the proxy itself ends the connection without a whole answer.

A request that crosses the close of an idle connection is the client's to send again.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -219,11 +219,15 @@
             if (exchange != null) {
                 exchange.giveUp();
             } else {
-                // After what is still being written.
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                close();
             }
         }
 
+        /** Closes the connection after what is still being written. */
+        private void close() {
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
             connections.remove(this);
@@ -268,7 +272,7 @@
         }
 
         /** The exchange is over; the next that was read ahead begins. */
-        void answered(boolean keepAlive) {
+        void answered(boolean keepAlive, ChannelFuture written) {
             used = true;
             idleSince = clock.now();
             exchange = keepAlive ? waiting.poll() : null;
@@ -277,7 +281,12 @@
             } else if (keepAlive && parting != null) {
                 hangUp();
             } else if (keepAlive) {
-                sockets.clientIdle(channel);
+                // Not before: an idle connection may be closed at any moment.
+                written.addListener(f -> {
+                    if (exchange == null && !unsent()) {
+                        sockets.clientIdle(channel);
+                    }
+                });
             }
         }
 
@@ -302,7 +311,7 @@
 
         void closeIfIdle() {
             if (exchange == null && firstByteAt < 0 && parting == null) {
-                channel.close();
+                close();
             }
         }
 
@@ -587,7 +596,7 @@
             if (!keepAlive) {
                 written.addListener(ChannelFutureListener.CLOSE);
             }
-            connection.answered(keepAlive);
+            connection.answered(keepAlive, written);
         }
 
         /** Its client has left, but may still listen. One that has not begun is answered in its turn. */
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beechfall.Balancer.Arrival;
+import beechfall.Balancer.AttemptEnded;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.io.IOException;
@@ -11,6 +12,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A planned restart, and the limit on sockets. */
 class ServeTest {
@@ -101,6 +104,52 @@
         }
     }
 
+    /** A connection is idle once its answer has gone out, not before: neither the end nor a crowd cuts an answer short. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void finishesTheAnswersThatClientsAreSlowToRead(boolean crowd) throws Exception {
+        String body = "x".repeat(65_536);
+        // More than the kernel holds for both sides.
+        int answers = 150;
+        var clients = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (!(event instanceof Arrival a) || !a.id().startsWith("held")) {
+                Fixture.sendTo("s0").handle(event, actions);
+            }
+        }, 128, 15_000_000, backend); var slow = proxy.client()) {
+            backend.always(Peer.ok(body));
+            for (int i = 0; i < answers; i++) {
+                slow.send(Fixture.get("r" + i));
+                proxy.next(AttemptEnded.class);
+                proxy.settle();
+            }
+            CompletableFuture<Void> drained = CompletableFuture.completedFuture(null);
+            if (crowd) {
+                // All of them hold a request: the one that holds none is to make room.
+                for (int i = 0; i < 40; i++) {
+                    Wire client = proxy.client();
+                    clients.add(client);
+                    client.send(Fixture.get("held" + i));
+                    proxy.next(Arrival.class);
+                }
+            } else {
+                Wire idle = proxy.client();
+                clients.add(idle);
+                idle.send(READY).read();
+                drained = CompletableFuture.runAsync(proxy::drain);
+                assertThat(idle.ended()).isTrue();
+            }
+            for (int i = 0; i < answers; i++) {
+                assertThat(slow.read().body()).hasSize(body.length());
+            }
+            drained.get(10, TimeUnit.SECONDS);
+        } finally {
+            for (Wire client : clients) {
+                client.close();
+            }
+        }
+    }
+
     private static boolean listens(Fixture proxy) {
         try {
             proxy.client().close();
