--- /dev/null
+++ b/src/test/java/beechfall/proxy/CrossingTest.java
@@ -0,0 +1,137 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Arrival;
+import beechfall.Balancer.AttemptEnded;
+import beechfall.Balancer.ListKind;
+import beechfall.Balancer.Members;
+import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Send;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Two things that happen at once: the loop is held up until both have, and then finds them together. */
+class CrossingTest {
+    /** Sends as {@link Fixture#sendTo} does, and stands still when a request arrives that is named so. */
+    private static Fixture.Module standingStillAt(String id, CountDownLatch goOn, long firstTimeoutUs) {
+        return (event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals(id)) {
+                awaitQuietly(goOn);
+            }
+            boolean first = event instanceof Arrival a && a.id().equals("r1");
+            Fixture.sendTo("s0", first ? firstTimeoutUs : 0).handle(event, actions);
+        };
+    }
+
+    private static void arrived(Fixture proxy, String id) throws InterruptedException {
+        while (!proxy.next(Arrival.class).id().equals(id)) {
+            // those before it
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** What is not written for certain never ran; what is written whole may have, whatever is behind it by then. */
+    @ParameterizedTest
+    @CsvSource({"false,RESET", "true,CONNECT_FAILED"})
+    void aConnectionIsClosedAsItIsUsedAgain(boolean reset, Outcome outcome) throws Exception {
+        var goOn = new CountDownLatch(1);
+        try (var backend = new Peer(); var proxy = new Fixture(standingStillAt("r2", goOn, 0), Fixture.PATIENT, backend);
+                var client = proxy.client()) {
+            client.send(Fixture.patient("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok("x"));
+            assertThat(client.read().status()).isEqualTo(200);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.OK);
+            long answered = System.nanoTime();
+            client.send(Fixture.patient("r2"));
+            arrived(proxy, "r2");
+            if (reset) {
+                attempt.socket.setSoLinger(true, 0);
+            }
+            attempt.close();
+            // A connection is used again once it has been idle for some milliseconds.
+            Peer.until(() -> System.nanoTime() - answered > 10_000_000);
+            goOn.countDown();
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(outcome);
+            assertThat(client.read().status()).isEqualTo(502);
+            backend.always(Peer.ok("y"));
+            assertThat(client.send(Fixture.patient("r3")).read().body()).isEqualTo("y");
+            proxy.settle();
+            assertThat(proxy.held()).isZero();
+        }
+    }
+
+    /** Whichever is seen first counts, and it alone: one outcome for the module, one answer for the client. */
+    @Test
+    void anAnswerComesAsItsTimeOutFires() throws Exception {
+        var goOn = new CountDownLatch(1);
+        try (var backend = new Peer(); var proxy = new Fixture(standingStillAt("other", goOn, 100_000), Fixture.PATIENT, backend);
+                var client = proxy.client(); var other = proxy.client()) {
+            client.send(Fixture.patient("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            long sent = System.nanoTime();
+            other.send(Fixture.patient("other"));
+            arrived(proxy, "other");
+            attempt.send(Peer.ok("x"));
+            Peer.until(() -> System.nanoTime() - sent > 150_000_000);
+            backend.always(Peer.ok("y"));
+            goOn.countDown();
+            AttemptEnded end = proxy.next(AttemptEnded.class);
+            assertThat(end.id()).isEqualTo("r1");
+            assertThat(end.outcome()).isIn(Outcome.OK, Outcome.TIMEOUT);
+            assertThat(client.read().status()).isEqualTo(end.outcome() == Outcome.OK ? 200 : 502);
+            assertThat(proxy.next(AttemptEnded.class).id()).isEqualTo("other");
+            proxy.settle();
+            assertThat(proxy.events).noneMatch(AttemptEnded.class::isInstance);
+            assertThat(proxy.held()).isZero();
+            // And nothing that came late is the next one's answer.
+            assertThat(client.send(Fixture.patient("r3")).read().body()).isEqualTo("y");
+        }
+    }
+
+    /** With the module that is in service: what waited when a backend began to drain goes elsewhere. */
+    @Test
+    void aChangeIsToldWhileRequestsWait() throws Exception {
+        var clients = new ArrayList<Wire>();
+        try (var backend = new Peer(); var other = new Peer(); var proxy = Fixture.inService(Fixture.PATIENT, backend)) {
+            while (clients.size() < proxy.sends.size() + 2) {
+                clients.add(proxy.client().send(Fixture.patient("r" + clients.size())));
+                proxy.next(Arrival.class);
+                proxy.settle();
+            }
+            int sent = proxy.sends.size();
+            proxy.list(Fixture.entry("s0", backend.address(), "draining"), Fixture.entry("s1", other.address(), "ready"));
+            other.always(Peer.ok("x"));
+            while (proxy.next(Members.class).kind() != ListKind.DELTA) {
+                // what it had in its last life
+            }
+            proxy.settle();
+            // One of those that are out ends, and makes room.
+            backend.accept();
+            Wire first = clients.get(0);
+            first.close();
+            proxy.next(AttemptEnded.class);
+            proxy.settle();
+            List<Send> later = List.copyOf(proxy.sends).subList(sent, proxy.sends.size());
+            assertThat(later).isNotEmpty().allMatch(s -> s.backend().equals("s1"));
+        } finally {
+            for (Wire client : clients) {
+                client.close();
+            }
+        }
+    }
+}
