Tell clients when to come back only where the settings allow it

Seen in the review: where bounds.retry_after is false, answers that refuse still carried Retry-After.

Ruled out: the longest time that the settings allow was kept. At fault: SettingsReader.settings() never read the flag. Where it is false the module hears that the longest time is 0, and gives none. The test fails without the change.

--- a/src/main/java/beechfall/Balancer.java
+++ b/src/main/java/beechfall/Balancer.java
@@ -65,7 +65,8 @@
 
     /**
      * What the proxy may do. {@code listMustBeAsked}: the list comes only after {@link Watch} or {@link Fetch}. An attempt
-     * begins up to {@code connectTimeoutUs} after it was asked for, or not at all.
+     * begins up to {@code connectTimeoutUs} after it was asked for, or not at all. {@code maxRetryAfterUs} is 0 where clients
+     * are not to be told when to come back.
      */
     record Limits(boolean cancel, boolean secondCopies, boolean probes, boolean listMustBeAsked, int maxAttempts,
             long maxRetryAfterUs, long connectTimeoutUs) {
--- a/src/main/java/beechfall/wire/SettingsReader.java
+++ b/src/main/java/beechfall/wire/SettingsReader.java
@@ -65,7 +65,8 @@
             tenants.add(new Balancer.Tenant(text(path + "name"), number(path + "allowance_per_s")));
         }
         var limits = new Balancer.Limits(flag("bounds.cancel"), flag("bounds.may_duplicate"), flag("bounds.probes"),
-                word("registry_mode", MODES), (int) whole("bounds.most_tries"), whole("bounds.max_retry_after_us"),
+                word("registry_mode", MODES), (int) whole("bounds.most_tries"),
+                has("bounds.retry_after") && !flag("bounds.retry_after") ? 0 : whole("bounds.max_retry_after_us"),
                 whole("bounds.connect_timeout_us"));
         var rules = new Balancer.Rules(number("invariants.cold_from"), whole("invariants.cold_us"),
                 number("invariants.fall_multiple"), whole("invariants.fall_us"), whole("invariants.must_ask_in_us"),
--- a/src/test/java/beechfall/proxy/CrossingTest.java
+++ b/src/test/java/beechfall/proxy/CrossingTest.java
@@ -21,7 +21,7 @@
     private static Fixture.Module standingStillAt(String id, CountDownLatch goOn, long firstTimeoutUs) {
         return (event, actions) -> {
             if (event instanceof Arrival a && a.id().equals(id)) {
-                awaitQuietly(goOn);
+                Peer.await(goOn);
             }
             boolean first = event instanceof Arrival a && a.id().equals("r1");
             Fixture.sendTo("s0", first ? firstTimeoutUs : 0).handle(event, actions);
@@ -34,14 +34,6 @@
         }
     }
 
-    private static void awaitQuietly(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** What is not written for certain never ran; what is written whole may have, whatever is behind it by then. */
     @ParameterizedTest
     @CsvSource({"false,RESET", "true,CONNECT_FAILED"})
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -45,21 +45,13 @@
         }
     }
 
-    private static void awaitQuietly(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** What waited while the proxy was held up is read to its end first: a client that has gone costs no attempt. */
     @Test
     void aClientThatHasGoneBeforeItsRequestIsReadIsPassedOver() throws Exception {
         var held = new CountDownLatch(1);
         Fixture.Module module = (event, actions) -> {
             if (event instanceof Arrival a && a.id().equals("first")) {
-                awaitQuietly(held);
+                Peer.await(held);
             }
             if (event instanceof Arrival a) {
                 actions.accept(new Refuse(a.id(), 0));
@@ -261,7 +253,7 @@
         var goOn = new CountDownLatch(1);
         try (var proxy = new Fixture((event, actions) -> {
             if (event instanceof Arrival a && a.id().equals("r1")) {
-                awaitQuietly(goOn);
+                Peer.await(goOn);
             }
         }); var one = proxy.client(); var two = proxy.client()) {
             two.send("GET /ready HTTP/1.1\r\n\r\n").read();
--- a/src/test/java/beechfall/proxy/Peer.java
+++ b/src/test/java/beechfall/proxy/Peer.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -79,6 +80,15 @@
         }
     }
 
+    /** Stands still, on the proxy's thread. */
+    static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     interface Work {
         void run() throws IOException;
     }
--- a/src/test/java/beechfall/wire/HostTest.java
+++ b/src/test/java/beechfall/wire/HostTest.java
@@ -79,6 +79,12 @@
                 new Balancer.Rules(0.4, 8100000, 4, 1000000, 10000000, true), 5192));
     }
 
+    @Test
+    void tellsNobodyWhenToComeBackWhereThatIsNotAllowed() throws IOException {
+        assertThat(run(batch(UP.replace("bounds.probes=false", "bounds.probes=false bounds.retry_after=false")))).isZero();
+        assertThat(settings).extracting(s -> s.limits().maxRetryAfterUs()).containsExactly(0L);
+    }
+
     @Test
     void readsEveryEvent() throws IOException {
         assertThat(run(batch(UP, LIST,
