Let the warm-up's thread wait now and then

At fault: Warmup kept eight clients asking without a pause. They pause together after each 240 requests.

--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -23,7 +23,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -35,6 +37,9 @@
  */
 final class Warmup {
     private static final int REQUESTS = 12_000;
+    /** After so many all clients pause: a thread that never waits is taken for one that hangs. */
+    private static final int ROUND = 240;
+    private static final long PAUSE_MS = 1;
     private static final int CLIENTS = 8;
     private static final int BACKENDS = 10;
     private static final byte[] BODY = "x".repeat(1_000).getBytes(StandardCharsets.US_ASCII);
@@ -43,6 +48,8 @@
     private final Transport transport = Transport.inProcess();
     private final String list;
     private final CountDownLatch done = new CountDownLatch(CLIENTS);
+    private final Set<ChannelHandlerContext> pausing = new HashSet<>();
+    private int round = ROUND;
     private int sent;
     private int served;
 
@@ -91,6 +98,13 @@
         transport.client().clone().handler(pipeline(new Client())).connect(transport.address(address(0)));
     }
 
+    private void goOn() {
+        round += ROUND;
+        List<ChannelHandlerContext> next = List.copyOf(pausing);
+        pausing.clear();
+        next.forEach(ctx -> ((Client) ctx.handler()).ask(ctx));
+    }
+
     private static ChannelInitializer<Channel> pipeline(ChannelHandler end) {
         return new ChannelInitializer<>() {
             @Override
@@ -147,12 +161,20 @@
         /** Where the machine is slow the proxy finds its client idle for too long, and ends the connection. */
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            pausing.remove(ctx);
             if (sent <= REQUESTS && !transport.loop().isShuttingDown()) {
                 connect();
             }
         }
 
         private void ask(ChannelHandlerContext ctx) {
+            if (sent >= round && sent < REQUESTS) {
+                pausing.add(ctx);
+                if (pausing.size() == CLIENTS) {
+                    transport.loop().schedule(Warmup.this::goOn, PAUSE_MS, TimeUnit.MILLISECONDS);
+                }
+                return;
+            }
             if (++sent > REQUESTS) {
                 done.countDown();
                 return;
