Take a reset under an answer without a length for a reset, not for its end

A close in place of the reset is rightly its end.

Netty's decoder ends an answer without a length at channelInactive, whatever closed the channel; exceptionCaught in Backends.Connection only closed it, so the attempt was still there when the decoder's last part came. It is ended now before that. Ruled out: answers with a length or in chunks, which stay unfinished (aBreakAfterTheLastByteMayHaveRun), and the client's side, where a request without a length has no body.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -471,6 +471,12 @@
                 answer.release();
                 answer = null;
             }
+            broken();
+            super.channelInactive(ctx);
+        }
+
+        /** No answer comes over this connection any more. */
+        private void broken() {
             if (attempt != null) {
                 Attempt a = attempt;
                 attempt = null;
@@ -480,7 +486,6 @@
                 }
                 a.end(a.written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
             }
-            super.channelInactive(ctx);
         }
 
         @Override
@@ -497,6 +502,8 @@
                 spoilt();
             } else {
                 ctx.close();
+                // Now, as the decoder takes any close that follows for the end of an answer without a length.
+                broken();
             }
         }
     }
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -45,6 +45,24 @@
         }
     }
 
+    /** Over HTTP an answer may have no length, and is whole at the end of its connection: a reset is no end. */
+    @ParameterizedTest
+    @CsvSource({"false,OK,200", "true,RESET,502"})
+    void anAnswerWithoutALengthIsWholeAtItsEndAlone(boolean reset, Outcome outcome, int status) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            try (Wire attempt = backend.accept()) {
+                attempt.read();
+                attempt.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+                if (reset) {
+                    attempt.socket.setSoLinger(true, 0);
+                }
+            }
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(outcome);
+            assertThat(client.read().status()).isEqualTo(status);
+        }
+    }
+
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
         var backend = new Peer();
