Be ready to drain before anybody is let in

Found in the review of what SIGTERM may cross: the hook that drains was registered after the proxy had begun to listen, on another thread than the one that serves. A client that comes back at once to a restarted proxy is served by then, and a SIGTERM in that moment ended the process with what it had taken unanswered; readsItsFileAgainOnSighup could fail in the same gap.

The hook is registered first. A bad configuration ends by halt, as nobody is to be drained for then, and a drain that begins before there is a listener has none to close. Without the change the new test sees exit 143 where 0 is wanted.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -136,7 +136,9 @@
 
     /** Accepts no more. */
     void stopListening() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
     }
 
     /** From now on each answer is its connection's last, so that the clients go elsewhere. */
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -70,14 +70,14 @@
                 Warmup.run(config, WARM_MS);
             }
             var serve = new Serve(config);
-            // Before it listens: without a handler the signal ends the process.
+            // Before it listens: without a handler either signal ends the process, whatever it has taken by then.
             onHangUp(() -> serve.reload(file));
-            serve.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
                 // All is answered and nothing is left to be tidied up.
                 Runtime.getRuntime().halt(0);
             }, "drain"));
+            serve.start();
         } catch (Config.BadConfig e) {
             exit(e);
         }
@@ -108,7 +108,8 @@
 
     private static void exit(Config.BadConfig e) {
         System.err.println("bad configuration: " + e.getMessage());
-        System.exit(2);
+        // There is nobody to drain for.
+        Runtime.getRuntime().halt(2);
     }
 
     /**
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -228,16 +228,33 @@
         }
     }
 
+    /** The program as it runs in service, told to end before it has begun to listen: it ends as it does later. */
+    @Test
+    void drainsWheneverItIsToldToEnd() throws Exception {
+        Path file = Files.createTempFile("config", ".json");
+        try (var agent = new Peer()) {
+            Files.writeString(file, Fixture.config(agent.address()).replace("on_request", "pushed"));
+            Process process = serve(file).inheritIO().start();
+            try {
+                // It lets nobody in before this is answered, and it is not.
+                agent.accept().read();
+                process.destroy();
+                assertThat(process.waitFor()).isZero();
+            } finally {
+                process.destroyForcibly();
+            }
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     /** The program as it runs in service: without a handler SIGHUP would end it. */
     @Test
     void readsItsFileAgainOnSighup() throws Exception {
         Path file = Files.createTempFile("config", ".json");
         try (var first = new Peer(); var second = new Peer()) {
             Files.writeString(file, Fixture.config(first.address()));
-            var command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve");
-            command.environment().put("PROXY_CONFIG", file.toString());
-            Process process = command.inheritIO().start();
+            Process process = serve(file).inheritIO().start();
             try {
                 first.accept().read();
                 Files.writeString(file, Fixture.config(second.address()));
@@ -252,4 +269,11 @@
             Files.delete(file);
         }
     }
+
+    private static ProcessBuilder serve(Path file) {
+        var command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve");
+        command.environment().put("PROXY_CONFIG", file.toString());
+        return command;
+    }
 }
