Begin nothing on a connection whose last answer is still being written

Found in the review of what crosses the end of a connection: an answer that says Connection: close ends its connection once it is written. Where the client reads slowly that takes a while; Connection.request began whatever came in meanwhile, it went to a backend, and the close took its answer away: a taken request lost by this side, and a copy when the client sends it again.

What comes behind a last answer is now left alone, as what is still unread is. Without the change the new test sees the request arrive at the module.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -179,6 +179,7 @@
         private long idleSince;
         private boolean used;
         private boolean left;
+        private boolean ends;
         private FullHttpResponse parting;
         private long partedAt = -1;
         private long dropped;
@@ -247,7 +248,7 @@
         }
 
         void request(FullHttpRequest request) {
-            if (parting != null || !channel.isActive()) {
+            if (parting != null || ends || !channel.isActive()) {
                 request.release();
                 return;
             }
@@ -276,6 +277,7 @@
         /** The exchange is over; the next that was read ahead begins. */
         void answered(boolean keepAlive, ChannelFuture written) {
             used = true;
+            ends = !keepAlive;
             idleSince = clock.now();
             exchange = keepAlive ? waiting.poll() : null;
             if (exchange != null) {
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -150,6 +150,31 @@
         }
     }
 
+    /** What comes while a connection's last answer is still being written would be sent on, and lost with the connection. */
+    @Test
+    void nothingBeginsBehindALastAnswer() throws Exception {
+        String body = "x".repeat(65_536);
+        // More than the kernel holds for both sides.
+        int answers = 150;
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var slow = proxy.client()) {
+            backend.always(Peer.ok(body));
+            for (int i = 1; i < answers; i++) {
+                slow.send(Fixture.get("r" + i));
+                proxy.next(AttemptEnded.class);
+                proxy.settle();
+            }
+            slow.send(Fixture.get("last").replace("Host:", "Connection: close\r\nHost:"));
+            proxy.next(AttemptEnded.class);
+            slow.send(Fixture.get("behind"));
+            proxy.settle();
+            assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
+            for (int i = 0; i < answers; i++) {
+                assertThat(slow.read().body()).hasSize(body.length());
+            }
+            assertThat(slow.ended()).isTrue();
+        }
+    }
+
     private static boolean listens(Fixture proxy) {
         try {
             proxy.client().close();
