Test an answer that crosses its client's leaving or its backend's drain

anAnswerComesAsItsTimeOutFires waited for ever, once in three runs beside other load: where the answer wins, its connection is kept and may be the one that carries the next request, which nobody answered there. It is answered now on either connection; the verdict no longer hangs on which has rested for long enough.

The two new crossings hold on the code as it stands and are guards.

--- a/src/test/java/beechfall/proxy/CrossingTest.java
+++ b/src/test/java/beechfall/proxy/CrossingTest.java
@@ -8,6 +8,7 @@
 import beechfall.Balancer.Members;
 import beechfall.Balancer.Outcome;
 import beechfall.Balancer.Send;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -85,6 +86,8 @@
             attempt.send(Peer.ok("x"));
             Peer.until(() -> System.nanoTime() - sent > 150_000_000);
             backend.always(Peer.ok("y"));
+            // Where it is not given up it is used again.
+            attempt.always(Peer.ok("y"), new ArrayDeque<>());
             goOn.countDown();
             AttemptEnded end = proxy.next(AttemptEnded.class);
             assertThat(end.id()).isEqualTo("r1");
@@ -99,6 +102,67 @@
         }
     }
 
+    /** Nothing is owed to the client, but the module hears of the attempt once, and nothing is kept. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aClientLeavesAsItsAnswerComes(boolean reset) throws Exception {
+        var goOn = new CountDownLatch(1);
+        try (var backend = new Peer(); var proxy = new Fixture(standingStillAt("other", goOn, 0), Fixture.PATIENT, backend);
+                var other = proxy.client()) {
+            Wire client = proxy.client().send(Fixture.patient("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            other.send(Fixture.patient("other"));
+            arrived(proxy, "other");
+            attempt.send(Peer.ok("x"));
+            client.socket.setSoLinger(reset, 0);
+            client.close();
+            backend.always(Peer.ok("y"));
+            goOn.countDown();
+            AttemptEnded end = proxy.next(AttemptEnded.class);
+            assertThat(end.id()).isEqualTo("r1");
+            assertThat(end.outcome()).isEqualTo(Outcome.OK);
+            assertThat(other.read().body()).isEqualTo("y");
+            assertThat(proxy.next(AttemptEnded.class).id()).isEqualTo("other");
+            proxy.settle();
+            assertThat(proxy.events).noneMatch(AttemptEnded.class::isInstance);
+            assertThat(proxy.held()).isZero();
+            // Two of them: the one that asked just now may not be gone yet.
+            Peer.until(() -> proxy.connected() == 1);
+        }
+    }
+
+    /** What a backend has done is the client's, but its connection is not kept for what it no longer wants. */
+    @Test
+    void anAnswerComesAsItsBackendBeginsToDrain() throws Exception {
+        var goOn = new CountDownLatch(1);
+        Fixture.Module watching = Fixture.watching("s0");
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("other")) {
+                Peer.await(goOn);
+            } else {
+                watching.handle(event, actions);
+            }
+        }, Fixture.PATIENT, backend); var client = proxy.client(); var other = proxy.client()) {
+            Wire watch = proxy.discovery.accept();
+            watch.read();
+            client.send(Fixture.patient("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            other.send(Fixture.patient("other"));
+            arrived(proxy, "other");
+            attempt.send(Peer.ok("x"));
+            watch.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s0", backend.address(), "draining"))));
+            goOn.countDown();
+            assertThat(client.read().body()).isEqualTo("x");
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.OK);
+            assertThat(attempt.ended()).isTrue();
+            client.send(Fixture.patient("r2"));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
+            assertThat(client.read().status()).isEqualTo(502);
+        }
+    }
+
     /** With the module that is in service: what waited when a backend began to drain goes elsewhere. */
     @Test
     void aChangeIsToldWhileRequestsWait() throws Exception {
--- a/src/test/java/beechfall/proxy/Peer.java
+++ b/src/test/java/beechfall/proxy/Peer.java
@@ -40,13 +40,7 @@
         var seen = new LinkedBlockingQueue<Wire.Message>();
         background(() -> {
             while (true) {
-                Wire wire = accept();
-                background(() -> {
-                    for (Wire.Message m = wire.read(); m != null; m = wire.read()) {
-                        seen.add(m);
-                        wire.send(answer);
-                    }
-                });
+                accept().always(answer, seen);
             }
         });
         return seen;
--- a/src/test/java/beechfall/proxy/Wire.java
+++ b/src/test/java/beechfall/proxy/Wire.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.Queue;
 
 /** One end of a connection, read and written byte by byte: tests see just what is sent, and when it ends. */
 final class Wire implements Closeable {
@@ -56,6 +57,16 @@
         return new Message(first, headers.toString(), new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    /** Answers every request that comes here from now on, on a thread of its own, and keeps the requests. */
+    void always(String answer, Queue<Message> seen) {
+        Peer.background(() -> {
+            for (Message m = read(); m != null; m = read()) {
+                seen.add(m);
+                send(answer);
+            }
+        });
+    }
+
     /** Waits until the other side has ended the connection; returns whether it did so without sending anything. */
     boolean ended() throws IOException {
         try {
