--- a/src/main/java/beechfall/Main.java
+++ b/src/main/java/beechfall/Main.java
@@ -8,7 +8,7 @@
  * {@code train} the warm-up alone, for the archive of loaded classes that makes starts fast.
  */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /**
      * Runs one of the commands.
--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -23,6 +23,7 @@
     private static final int KIND_MEMORY = 1024;
     /** A kind's mean counts as so many of a backend's own answers, of which a refresh keeps a part. */
     private static final double OWN_PRIOR = 4;
+
     private static final double OWN_KEPT = 0.8;
     /** A backend that is likely warm for a request's key counts as this many times its weight. */
     private static final double WARM = 4;
@@ -46,6 +47,7 @@
     private static final double CROWD_FLOOR = 3;
     /** Further attempts allowed for each request, and how many may be saved up. */
     private static final double RETRY_RATE = 0.2;
+
     private static final double RETRY_BURST = 10;
     /** An attempt is cut off after this multiple of the time to its aim: sooner, its work goes on unseen. */
     private static final double LATE = 2;
@@ -54,6 +56,7 @@
 
     /** Errors are common when they are more than this part of the attempts, in the mean of so many; time-outs alike. */
     private static final double COMMON = 0.015;
+
     private static final double ERROR_MEMORY = 256;
 
     private final Settings settings;
@@ -150,7 +153,7 @@
 
         /** Not put off, nor silent for too long; after a pause one attempt at a time until one goes well. */
         boolean holds(long now, long silenceUs) {
-            return !putOff(now) && (out == 0 || pauseUs == 0 && now - heardAt < silenceUs);
+            return !putOff(now) && (out == 0 || (pauseUs == 0 && now - heardAt < silenceUs));
         }
 
         void sent(long now) {
@@ -165,7 +168,8 @@
         /** A failure brings the least pause; each that follows a pause doubles it, each answer halves it. */
         void judge(boolean good, long now, long leastUs) {
             if (now >= tryAt) {
-                pauseUs = good ? (pauseUs > leastUs ? pauseUs / 2 : 0)
+                pauseUs = good
+                        ? (pauseUs > leastUs ? pauseUs / 2 : 0)
                         : Math.min(Math.max(2 * pauseUs, leastUs), PAUSES * leastUs);
                 tryAt = good ? tryAt : now + pauseUs;
             }
@@ -221,7 +225,7 @@
         }
 
         boolean outranks(Request other) {
-            return worth > other.worth || worth == other.worth && aimAt < other.aimAt;
+            return worth > other.worth || (worth == other.worth && aimAt < other.aimAt);
         }
     }
 
@@ -337,7 +341,8 @@
         int rounds = Math.max(1, settings.balancers() / Math.max(1, servers.size()));
         int shuffle = mix(settings.rank() % rounds);
         servers.sort(Comparator.comparing((Server s) -> mix(s.id.hashCode() ^ shuffle)));
-        double at = (settings.rank() / rounds) * (double) rounds / settings.balancers();
+        int place = settings.rank() / rounds;
+        double at = place * (double) rounds / settings.balancers();
         int first = 0;
         while (first < servers.size() - 1 && at > servers.get(first).weight - 1e-9) {
             at -= servers.get(first++).weight;
@@ -371,11 +376,15 @@
     private void refresh() {
         refreshAt = now + refreshUs;
         // A kind without answers yet goes by its list weight, in the unit of the kinds that have some.
-        double scale = servers.stream().filter(s -> s.kind.samples > 0)
-                .mapToDouble(s -> 1 / (s.kind.meanUs * s.listed.weight())).average().orElse(1);
+        double scale = servers.stream()
+                .filter(s -> s.kind.samples > 0)
+                .mapToDouble(s -> 1 / (s.kind.meanUs * s.listed.weight()))
+                .average()
+                .orElse(1);
         servers.forEach(s -> s.weight = s.kind.samples > 0 ? 1 / responseUs(s) : s.listed.weight() * scale);
         double floor = FLOOR * servers.stream().mapToDouble(s -> s.weight).max().orElse(1);
-        double sum = servers.stream().mapToDouble(s -> Math.max(s.weight, floor)).sum();
+        double sum =
+                servers.stream().mapToDouble(s -> Math.max(s.weight, floor)).sum();
         for (Server s : servers) {
             s.weight = Math.max(s.weight, floor) / sum;
             s.currentTime = 0;
@@ -461,7 +470,8 @@
 
     /** The backend where a key is likely to be warm: all proxies find the same one, by rendezvous hashing. */
     private Server home(String key) {
-        return servers.stream().max(Comparator.comparingInt(s -> mix(key.hashCode() ^ s.id.hashCode())))
+        return servers.stream()
+                .max(Comparator.comparingInt(s -> mix(key.hashCode() ^ s.id.hashCode())))
                 .orElse(null);
     }
 
@@ -481,15 +491,18 @@
 
     /** Rule 2: a request that may have run goes only where its class lets it run again, and in time to begin there. */
     private boolean effectAllows(Server s, Request r) {
-        return r.attempts.isEmpty() || r.type.effect() == Effect.SAFE || r.attempts.stream().allMatch(a ->
-                !mayHaveRun(a) || r.type.effect() == Effect.KEYED
-                && now + settings.limits().connectTimeoutUs() < a.sentAt + r.type.windowUs() && sameGroup(r.type.scope(), a.sentTo, s.listed));
+        return r.attempts.isEmpty()
+                || r.type.effect() == Effect.SAFE
+                || r.attempts.stream()
+                        .allMatch(a -> !mayHaveRun(a)
+                                || (r.type.effect() == Effect.KEYED
+                                        && now + settings.limits().connectTimeoutUs() < a.sentAt + r.type.windowUs()
+                                        && sameGroup(r.type.scope(), a.sentTo, s.listed)));
     }
 
     /** Rule 5: where 'full' is no proof, it counts as any other failure, for sends and refusals alike. */
     private boolean mayHaveRun(Attempt a) {
-        return a.outcome == null || !a.outcome.neverRan()
-                || a.outcome == Outcome.FULL && rules.fullUnproven();
+        return a.outcome == null || !a.outcome.neverRan() || (a.outcome == Outcome.FULL && rules.fullUnproven());
     }
 
     private static boolean sameGroup(Scope scope, Backend a, Backend b) {
@@ -510,10 +523,12 @@
         if (warmth >= 1) {
             return Double.POSITIVE_INFINITY;
         }
-        double requestUs = s.kind.samples > 0 ? s.kind.meanUs : settings.classes().get(0).aimUs();
+        double requestUs =
+                s.kind.samples > 0 ? s.kind.meanUs : settings.classes().get(0).aimUs();
         double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight * servers.size());
         double budgetPerUs = COLD_MARGIN * rules.fallMultiple() * warmth * perUs;
-        s.coldTokens = Math.min(Math.max(1, budgetPerUs * rules.fallUs() / 4),
+        s.coldTokens = Math.min(
+                Math.max(1, budgetPerUs * rules.fallUs() / 4),
                 s.coldTokens + 0.75 * budgetPerUs * (now - s.coldTokensAt));
         s.coldTokensAt = now;
         return s.coldTokens;
@@ -634,7 +649,9 @@
 
     private void retry(Request r) {
         // A request that no backend may be sent is over: held, it would only take up room.
-        if (now < r.aimAt && retryTokens >= 1 && r.attempts.size() < settings.limits().maxAttempts()
+        if (now < r.aimAt
+                && retryTokens >= 1
+                && r.attempts.size() < settings.limits().maxAttempts()
                 && servers.stream().anyMatch(s -> effectAllows(s, r))) {
             retryTokens -= 1;
             hold(r);
@@ -663,7 +680,8 @@
     private void hold(Request r) {
         // Sent at the last moment, it is to be answered in time: twice a crowd's time ahead.
         r.giveUpAt = Math.min(r.aimAt - 2 * crowdUs, r.deadline - 2 * settings.tickUs());
-        r.cheaper = 1.0 * classes.values().stream().filter(c -> c.worth() < r.worth).count() / classes.size();
+        r.cheaper =
+                1.0 * classes.values().stream().filter(c -> c.worth() < r.worth).count() / classes.size();
         r.home = r.key == null ? null : home(r.key);
         int i = held.size();
         while (i > 0 && r.outranks(held.get(i - 1))) {
@@ -678,7 +696,7 @@
             return;
         }
         // A key away from its home costs its full work: in a crowd, the very room that is missing.
-        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && mayGo(held.get(i));) {
+        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && mayGo(held.get(i)); ) {
             Request r = held.get(i);
             if (r.home != null && pick(r) == r.home) {
                 held.remove(i);
@@ -689,7 +707,7 @@
         }
         // A flow that must wait for the backends that still answer it keeps no other from the rest.
         var waiting = new boolean[classes.size() * flowsOfClass];
-        for (int i = 0; i < held.size() && mayGo(held.get(i));) {
+        for (int i = 0; i < held.size() && mayGo(held.get(i)); ) {
             Request r = held.get(i);
             Server s = waiting[r.flow] && r.attempts.isEmpty() ? null : pick(r);
             if (s != null) {
@@ -719,7 +737,7 @@
     private void finish(Request r) {
         refused += (1 - refused) / 16;
         boolean harmless = r.type.effect() == Effect.SAFE
-                || r.type.effect() == Effect.KEYED && r.type.scope() == Scope.ALL
+                || (r.type.effect() == Effect.KEYED && r.type.scope() == Scope.ALL)
                 || r.attempts.stream().noneMatch(this::mayHaveRun);
         out.accept(harmless ? new Refuse(r.id, comeBackUs(r)) : new Fail(r.id));
         close(r);
@@ -729,7 +747,8 @@
     private long comeBackUs(Request r) {
         double heldUs = servers.isEmpty() ? refreshUs : held.size() / Math.max(answerRate(), 1.0 / refreshUs);
         double spread = 1 - (mix(r.id.hashCode()) >>> 16) / 262_144.0;
-        return (long) (spread * Math.min(Math.max(crowdUs, heldUs), settings.limits().maxRetryAfterUs()));
+        return (long)
+                (spread * Math.min(Math.max(crowdUs, heldUs), settings.limits().maxRetryAfterUs()));
     }
 
     // Timers
--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -50,18 +50,19 @@
 
     /** An answer with its head, its padding and what comes ahead of it is never longer than this. */
     private static final long MOST_BYTES = 2 * MAX_BODY;
+
     private static final long STALL_MS = 100;
     /** A second answer has come by then: those seen were up to 4 ms behind the first. */
     private static final long SETTLE_US = 10_000;
 
     /** What goes to a backend; it is the same for each attempt, but for the time left. */
-    record Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body) { }
+    record Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body) {}
 
     /** A backend's 200. The body is the receiver's to release. */
-    record Answer(HttpHeaders headers, ByteBuf body) { }
+    record Answer(HttpHeaders headers, ByteBuf body) {}
 
     /** A line of the list, and where this proxy finds that backend. */
-    record Listed(Balancer.Backend backend, InetSocketAddress address) { }
+    record Listed(Balancer.Backend backend, InetSocketAddress address) {}
 
     /** Hears the one end of an attempt; {@code answer} is there for {@link Outcome#OK} alone. */
     interface End {
@@ -84,8 +85,8 @@
         this.sockets = sockets;
         // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
         this.idleUs = connIdleUs * 3 / 5;
-        this.bootstrap = transport.client().clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000));
+        this.bootstrap = transport.client().clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                Math.max(1, connectTimeoutUs / 1_000));
     }
 
     /** Returns whether there is a backend to send to. */
@@ -138,7 +139,7 @@
     /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
     Attempt attempt(String id, Outgoing outgoing, long timeoutUs, End end) {
         Target target = targets.get(id);
-        if (target == null || !target.ready || !target.pool.hasIdle() && !sockets.roomForBackend()) {
+        if (target == null || !target.ready || (!target.pool.hasIdle() && !sockets.roomForBackend())) {
             return null;
         }
         return new Attempt(target, outgoing, timeoutUs, end);
@@ -153,16 +154,21 @@
 
         Target(InetSocketAddress address) {
             this.address = address;
-            this.pool = new Pool(bootstrap.clone().remoteAddress(transport.address(address)), new AbstractChannelPoolHandler() {
-                @Override
-                public void channelCreated(Channel channel) {
-                    sockets.backendOpened(channel);
-                    var decoder = new Framing.Responses();
-                    channel.pipeline().addLast(new HttpRequestEncoder(), decoder, new HttpObjectAggregator(MAX_BODY),
-                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS),
-                            new Connection(Target.this, channel, decoder));
-                }
-            });
+            this.pool = new Pool(
+                    bootstrap.clone().remoteAddress(transport.address(address)), new AbstractChannelPoolHandler() {
+                        @Override
+                        public void channelCreated(Channel channel) {
+                            sockets.backendOpened(channel);
+                            var decoder = new Framing.Responses();
+                            channel.pipeline()
+                                    .addLast(
+                                            new HttpRequestEncoder(),
+                                            decoder,
+                                            new HttpObjectAggregator(MAX_BODY),
+                                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS),
+                                            new Connection(Target.this, channel, decoder));
+                        }
+                    });
         }
 
         /** Closes what is idle; returns the attempts that have not been written whole and so never ran. */
@@ -209,7 +215,7 @@
         @Override
         protected Channel pollChannel() {
             long now = clock.now();
-            for (Iterator<Connection> i = idle.descendingIterator(); i.hasNext();) {
+            for (Iterator<Connection> i = idle.descendingIterator(); i.hasNext(); ) {
                 Connection connection = i.next();
                 if (connection.settled(now)) {
                     i.remove();
@@ -268,8 +274,8 @@
             startedAt = clock.now();
             target.out.add(this);
             // Before its last byte is written it has not run for certain; after that it may, even if nothing comes.
-            timer = loop.schedule(() -> abort(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED), timeoutUs,
-                    TimeUnit.MICROSECONDS);
+            timer = loop.schedule(
+                    () -> abort(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED), timeoutUs, TimeUnit.MICROSECONDS);
             Promise<Channel> promise = loop.newPromise();
             connecting = target.pool.acquireOrConnect(promise);
             promise.addListener((Future<Channel> f) -> connected(f));
@@ -298,7 +304,10 @@
         }
 
         private void write() {
-            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, outgoing.method(), outgoing.uri(),
+            var request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    outgoing.method(),
+                    outgoing.uri(),
                     outgoing.body().retainedDuplicate());
             Headers.copyEndToEnd(outgoing.headers(), request.headers());
             request.headers().set(Headers.TIMEOUT, Math.max(1, startedAt + timeoutUs - clock.now()) + "u");
@@ -355,6 +364,7 @@
         private boolean unasked;
         /** 0 while it has not carried any attempt. */
         private long idleSince;
+
         private long idledUs;
         private Future<?> stall;
 
@@ -428,17 +438,20 @@
 
         /** Backends send their answers in one go: one that stops on its way has a length that is wrong, or no end. */
         private void awaitMore(long seen) {
-            stall = loop.schedule(() -> {
-                stall = null;
-                if (attempt == null) {
-                    return;
-                }
-                if (decoder.bytes() == seen) {
-                    spoilt();
-                } else {
-                    awaitMore(decoder.bytes());
-                }
-            }, STALL_MS, TimeUnit.MILLISECONDS);
+            stall = loop.schedule(
+                    () -> {
+                        stall = null;
+                        if (attempt == null) {
+                            return;
+                        }
+                        if (decoder.bytes() == seen) {
+                            spoilt();
+                        } else {
+                            awaitMore(decoder.bytes());
+                        }
+                    },
+                    STALL_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         private void stopAwaiting() {
--- a/src/main/java/beechfall/proxy/Config.java
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -21,8 +21,15 @@
  * @param known the backends as this proxy last had them, in discovery's form; null where there are none
  * @param connIdleUs a backend closes a connection that has stood idle for so long
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, JsonNode known,
-        Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
+record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        int sockets,
+        JsonNode known,
+        Balancer.Settings settings,
+        long connIdleUs,
+        long connectTimeoutUs) {
 
     /** A configuration that no proxy can run with; the message is for the operators and names the field. */
     static final class BadConfig extends Exception {
@@ -63,7 +70,11 @@
         var values = new HashMap<String, String>();
         flatten("", settings, values);
         try {
-            return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"), sockets(json),
+            return new Config(
+                    text(json, "name"),
+                    address(json, "listen"),
+                    address(json, "discovery"),
+                    sockets(json),
                     json.path("known").isObject() ? json.path("known") : null,
                     SettingsReader.read(values, seed(json)),
                     SettingsReader.whole(values, "bounds.conn_idle_us"),
@@ -76,8 +87,8 @@
     /** Spells nested JSON out as paths, as the simulator's wire has them. */
     private static void flatten(String path, JsonNode node, Map<String, String> values) {
         if (node.isObject()) {
-            node.properties().forEach(e ->
-                    flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), values));
+            node.properties()
+                    .forEach(e -> flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), values));
         } else if (node.isArray()) {
             values.put(path + ".count", Integer.toString(node.size()));
             for (int i = 0; i < node.size(); i++) {
--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -45,11 +45,13 @@
      * once, and what it hears after a silence of its own counts as told right then.
      */
     private static final long SERVICE_SILENCE_MS = 2_000;
+
     private static final long AGENT_SILENCE_MS = 600;
     private static final long MOST_HOLD_MS = 60_000;
     private static final long LEAST_HOLD_MS = 1_500;
     /** Each empty answer is work for a service that all proxies share: so long for each of them. */
     private static final long HOLD_FOR_EACH_MS = 500;
+
     private static final long NO_NEWS_MS = 50;
     private static final long AGENT_RETRY_MS = 100;
     private static final Map<String, Balancer.State> STATES = Map.of(
@@ -71,8 +73,7 @@
     private long version = -1;
     private final Promise<Void> heard;
 
-    Discovery(Transport transport, Log log, Proxy proxy, InetSocketAddress address,
-            Balancer.Settings settings) {
+    Discovery(Transport transport, Log log, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
         this.loop = transport.loop();
         this.heard = loop.newPromise();
         this.transport = transport;
@@ -85,7 +86,8 @@
         // A call whose other end has vanished looks like one that waits: until its answer is overdue no news comes.
         // Never more than twice the time within which a proxy has to ask.
         long share = pushed ? LEAST_HOLD_MS : Math.max(LEAST_HOLD_MS, HOLD_FOR_EACH_MS * settings.balancers());
-        this.holdMs = Math.min(Math.min(MOST_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
+        this.holdMs =
+                Math.min(Math.min(MOST_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
     }
 
     /** Ends when a first call has: until then the list is as old as the last life of this proxy. */
@@ -208,9 +210,16 @@
         if (state == null || address == null || id.isEmpty() || !(weight > 0) || Double.isInfinite(weight)) {
             return null;
         }
-        return new Backends.Listed(new Balancer.Backend(id, state, entry.path("kind").asText(null),
-                entry.path("zone").asText(null), entry.path("cell").asInt(), entry.path("started_ms").asLong() * 1_000,
-                weight), address);
+        return new Backends.Listed(
+                new Balancer.Backend(
+                        id,
+                        state,
+                        entry.path("kind").asText(null),
+                        entry.path("zone").asText(null),
+                        entry.path("cell").asInt(),
+                        entry.path("started_ms").asLong() * 1_000,
+                        weight),
+                address);
     }
 
     /** One call, on a connection of its own: a few in a minute are not worth keeping any. */
@@ -227,15 +236,18 @@
             uri = watching && version >= 0 ? PATH + "?from=" + version + "&hold_ms=" + waitMs : PATH;
             // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
             timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + silenceMs, TimeUnit.MILLISECONDS);
-            ChannelFuture connect = transport.client().clone()
+            ChannelFuture connect = transport
+                    .client()
+                    .clone()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel ch) {
-                            ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
-                                    Call.this);
+                            ch.pipeline()
+                                    .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER), Call.this);
                         }
-                    }).connect(transport.address(address));
+                    })
+                    .connect(transport.address(address));
             channel = connect.channel();
             connect.addListener(f -> {
                 if (!f.isSuccess()) {
@@ -254,13 +266,15 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (!response.status().equals(HttpResponseStatus.OK) || response.decoderResult().isFailure()) {
+            if (!response.status().equals(HttpResponseStatus.OK)
+                    || response.decoderResult().isFailure()) {
                 finish(null, "answer " + response.status());
                 return;
             }
             try (InputStream body = new ByteBufInputStream(response.content())) {
                 JsonNode list = Json.read(body);
-                boolean sound = list.path("version").canConvertToLong() && list.path("full").isBoolean()
+                boolean sound = list.path("version").canConvertToLong()
+                        && list.path("full").isBoolean()
                         && list.path("servers").isArray();
                 finish(sound ? list : null, "the answer is no list");
             } catch (IOException e) {
--- a/src/main/java/beechfall/proxy/Framing.java
+++ b/src/main/java/beechfall/proxy/Framing.java
@@ -12,7 +12,7 @@
  * here: a guess may hide a request in the body of another, or give a client what no backend meant.
  */
 final class Framing {
-    private Framing() { }
+    private Framing() {}
 
     /** Decodes what clients send. */
     static final class Requests extends HttpRequestDecoder {
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -64,6 +64,7 @@
     private static final long UNREAD_US = 10_000_000;
     /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
     private static final long DROPPED = 256 * 1024;
+
     private static final long LINGER_US = 1_000_000;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 2;
@@ -96,14 +97,17 @@
         beatAt = clock.now();
         transport.loop().scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
         transport.loop().scheduleWithFixedDelay(this::sweep, SWEEP_US, SWEEP_US, TimeUnit.MICROSECONDS);
-        ChannelFuture bound = transport.server().clone()
+        ChannelFuture bound = transport
+                .server()
+                .clone()
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         sockets.clientOpened(channel);
                         channel.pipeline().addLast(new Connection());
                     }
-                }).bind(transport.address(address));
+                })
+                .bind(transport.address(address));
         listener = bound.channel();
         sockets.listener(listener);
         return bound;
@@ -177,6 +181,7 @@
         private long lastReadAt;
         /** Since when nothing is open here: the connect, or the last answer. */
         private long idleSince;
+
         private boolean used;
         private boolean left;
         private boolean ends;
@@ -270,7 +275,8 @@
                 waiting.add(next);
             } else {
                 request.release();
-                part(plain(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
+                part(plain(
+                        HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
             }
         }
 
@@ -416,7 +422,8 @@
                 return plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read");
             }
             List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-            boolean plainChunks = codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked")
+            boolean plainChunks = codings.size() == 1
+                    && codings.get(0).trim().equalsIgnoreCase("chunked")
                     && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
             if (!codings.isEmpty() && !plainChunks) {
                 return plain(HttpResponseStatus.BAD_REQUEST, "a body that is not sent in plain chunks");
@@ -491,8 +498,10 @@
             try {
                 var uri = new QueryStringDecoder(request.uri());
                 if (uri.rawPath().equals("/ready")) {
-                    answer(ready.getAsBoolean() && !leaving ? plain(HttpResponseStatus.OK, "ready")
-                            : plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
+                    answer(
+                            ready.getAsBoolean() && !leaving
+                                    ? plain(HttpResponseStatus.OK, "ready")
+                                    : plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
                     return;
                 }
                 incoming = incoming(uri);
@@ -544,8 +553,13 @@
             List<String> keys = uri.parameters().get("k");
             long patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
             long deadline = firstByteAt + patienceUs - Math.min(ON_ITS_WAY_US, patienceUs / 10);
-            return new Proxy.Incoming(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
-                    "1".equals(headers.get(Headers.RETRIED)), deadline,
+            return new Proxy.Incoming(
+                    requestId,
+                    requestClass,
+                    tenant,
+                    keys == null ? null : keys.get(0),
+                    "1".equals(headers.get(Headers.RETRIED)),
+                    deadline,
                     new Backends.Outgoing(request.method(), request.uri(), headers, request.content()));
         }
 
@@ -575,9 +589,11 @@
 
         @Override
         public void refused(long retryAfterUs) {
-            FullHttpResponse answer = plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not now; trying again is harmless");
+            FullHttpResponse answer =
+                    plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not now; trying again is harmless");
             if (retryAfterUs > 0) {
-                answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
+                answer.headers()
+                        .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
             }
             answer(answer);
         }
--- a/src/main/java/beechfall/proxy/Headers.java
+++ b/src/main/java/beechfall/proxy/Headers.java
@@ -17,11 +17,20 @@
     static final String NOT_PROCESSED = "x-not-processed";
 
     /** These concern one connection alone (RFC 9110, 7.6.1); the content length is set afresh by each sender. */
-    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization", "content-length",
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "content-length",
             "expect");
 
-    private Headers() { }
+    private Headers() {}
 
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
         boolean named = from.contains(HttpHeaderNames.CONNECTION);
--- a/src/main/java/beechfall/proxy/IdleLimit.java
+++ b/src/main/java/beechfall/proxy/IdleLimit.java
@@ -9,9 +9,11 @@
 final class IdleLimit {
     /** Idle times are told apart by steps of a factor of about 1.4, from a millisecond on. */
     private static final int STEPS = 40;
+
     private static final double STEPS_PER_DOUBLING = 2;
     /** Resets may be this many times as common as sooner, and this much more: less is chance, or costs no more than a connect. */
     private static final double TIMES = 2;
+
     private static final double MORE = 0.05;
     private static final double LEAST_RESETS = 2;
     /** After so many requests, what was seen counts half. */
--- a/src/main/java/beechfall/proxy/Json.java
+++ b/src/main/java/beechfall/proxy/Json.java
@@ -20,7 +20,7 @@
     private static final JsonFactory FACTORY = new JsonFactory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
-    private Json() { }
+    private Json() {}
 
     static ObjectNode object() {
         return NODES.objectNode();
@@ -57,7 +57,8 @@
             }
             case VALUE_NUMBER_INT -> {
                 return parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                        ? NODES.numberNode(parser.getBigIntegerValue()) : NODES.numberNode(parser.getLongValue());
+                        ? NODES.numberNode(parser.getBigIntegerValue())
+                        : NODES.numberNode(parser.getLongValue());
             }
             case VALUE_NUMBER_FLOAT -> {
                 return NODES.numberNode(parser.getDoubleValue());
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -33,8 +33,14 @@
      * A client's request. {@code deadlineUs} is on the proxy's clock: the last moment at which an answer can leave and
      * still be there before the client gives up.
      */
-    record Incoming(String id, String requestClass, String tenant, String key, boolean repeat, long deadlineUs,
-            Backends.Outgoing outgoing) { }
+    record Incoming(
+            String id,
+            String requestClass,
+            String tenant,
+            String key,
+            boolean repeat,
+            long deadlineUs,
+            Backends.Outgoing outgoing) {}
 
     /** A request and its attempts, kept until it is answered and no attempt is out. */
     private static final class Request {
@@ -42,6 +48,7 @@
         private final Reply reply;
         /** By their numbers; null where the attempt was never sent. */
         private final List<Backends.Attempt> attempts = new ArrayList<>(2);
+
         private int out;
         private boolean over;
         private Future<?> safety;
@@ -105,8 +112,13 @@
         var r = new Request(incoming, reply);
         requests.put(incoming.id(), r);
         r.safety = loop.schedule(() -> overdue(r), incoming.deadlineUs() + SAFETY_US - now, TimeUnit.MICROSECONDS);
-        deliver(new Balancer.Arrival(incoming.id(), incoming.requestClass(), incoming.tenant(), incoming.key(),
-                incoming.deadlineUs() - now, incoming.repeat()));
+        deliver(new Balancer.Arrival(
+                incoming.id(),
+                incoming.requestClass(),
+                incoming.tenant(),
+                incoming.key(),
+                incoming.deadlineUs() - now,
+                incoming.repeat()));
     }
 
     /** The client has closed its connection before it had an answer. */
@@ -146,13 +158,13 @@
     /** Discovery's news, or {@link Balancer.ListKind#FAILED} where a call has brought none. */
     void members(Balancer.ListKind kind, List<Backends.Listed> listed) {
         List<Backends.Attempt> unsent = kind == Balancer.ListKind.FAILED ? List.of() : backends.update(kind, listed);
-        deliver(new Balancer.Members(kind, listed.stream().map(Backends.Listed::backend).toList()));
+        deliver(new Balancer.Members(
+                kind, listed.stream().map(Backends.Listed::backend).toList()));
         // The module has heard why by now, and sends them elsewhere.
         unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
     }
 
-    private void ended(Request r, int number, String backend, Outcome outcome, long latencyUs,
-            Backends.Answer answer) {
+    private void ended(Request r, int number, String backend, Outcome outcome, long latencyUs, Backends.Answer answer) {
         r.out--;
         if (outcome == Outcome.OK && !r.over) {
             answer(r, reply -> reply.served(answer));
@@ -220,7 +232,8 @@
 
     /** An error costs the request that it came with, not the proxy and all the others that it holds. */
     private void failRequestOf(Event event) {
-        String id = event instanceof Balancer.Arrival a ? a.id() : event instanceof Balancer.AttemptEnded a ? a.id() : null;
+        String id =
+                event instanceof Balancer.Arrival a ? a.id() : event instanceof Balancer.AttemptEnded a ? a.id() : null;
         if (id != null) {
             finish(id, Reply::failed);
         }
@@ -232,7 +245,9 @@
         if (action instanceof Balancer.Send a) {
             send(a);
         } else if (action instanceof Balancer.SetTimer a) {
-            loop.schedule(() -> deliver(new Balancer.TimerFired(a.token())), Math.max(0, a.atUs() - clock.now()),
+            loop.schedule(
+                    () -> deliver(new Balancer.TimerFired(a.token())),
+                    Math.max(0, a.atUs() - clock.now()),
                     TimeUnit.MICROSECONDS);
         } else if (action instanceof Balancer.Refuse a) {
             finish(a.id(), reply -> reply.refused(a.retryAfterUs()));
@@ -240,7 +255,8 @@
             finish(a.id(), Reply::failed);
         } else if (action instanceof Balancer.Cancel a) {
             Request r = requests.get(a.id());
-            Backends.Attempt attempt = r == null || a.attempt() >= r.attempts.size() ? null : r.attempts.get(a.attempt());
+            Backends.Attempt attempt =
+                    r == null || a.attempt() >= r.attempts.size() ? null : r.attempts.get(a.attempt());
             if (attempt != null && limits.cancel()) {
                 attempt.abort(Outcome.CANCELLED);
             }
@@ -276,7 +292,10 @@
         long timeoutUs = send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left);
         Backends.Attempt attempt = null;
         if (!r.over && number < limits.maxAttempts() && timeoutUs > 0 && (r.out == 0 || limits.secondCopies())) {
-            attempt = backends.attempt(send.backend(), r.incoming.outgoing(), timeoutUs,
+            attempt = backends.attempt(
+                    send.backend(),
+                    r.incoming.outgoing(),
+                    timeoutUs,
                     (outcome, latencyUs, answer) -> ended(r, number, send.backend(), outcome, latencyUs, answer));
         }
         r.attempts.add(attempt);
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -15,15 +15,18 @@
 public final class Serve {
     /** New connections go on coming for so long after the signal. */
     private static final long FRONT_LAG_MS = 500;
+
     private static final long LOOK_MS = 10;
     /** The process is killed 700 ms after the longest deadline, which counts for so much at most; a little earlier it ends. */
     private static final long MOST_DEADLINE_MS = 3_000;
+
     private static final long KILL_MS = 600;
     /** What is still open so long before the end is failed: it has had the time that most answers take. */
     private static final long LAST_ANSWERS_MS = 50;
 
     /** What the warm-up may take: a first life has no clients yet, so they come once it is over. */
     private static final long WARM_MS = 6_000;
+
     private static final long TRAIN_MS = 60_000;
 
     private final Config config;
@@ -54,7 +57,8 @@
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(transport, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
-        frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.heard().isDone() && backends.anyReady());
+        frontend = new Frontend(
+                clock, log, proxy, sockets, settings, () -> discovery.heard().isDone() && backends.anyReady());
     }
 
     /**
@@ -72,11 +76,14 @@
             var serve = new Serve(config);
             // Before it listens: without a handler either signal ends the process, whatever it has taken by then.
             onHangUp(() -> serve.reload(file));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                serve.drain();
-                // All is answered and nothing is left to be tidied up.
-                Runtime.getRuntime().halt(0);
-            }, "drain"));
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(
+                            () -> {
+                                serve.drain();
+                                // All is answered and nothing is left to be tidied up.
+                                Runtime.getRuntime().halt(0);
+                            },
+                            "drain"));
             serve.start();
         } catch (Config.BadConfig e) {
             exit(e);
@@ -88,7 +95,7 @@
         try {
             Config config = Config.read(file());
             Warmup.run(config, TRAIN_MS);
-            onHangUp(() -> { });
+            onHangUp(() -> {});
             // On a port that is free: what it listens with and connects with is loaded too.
             var serve = new Serve(config.listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
             serve.listen().awaitUninterruptibly();
@@ -126,8 +133,11 @@
                 }
                 return null;
             };
-            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
-                    java.lang.reflect.Proxy.newProxyInstance(null, new Class<?>[] {handler}, handle));
+            signal.getMethod("handle", signal, handler)
+                    .invoke(
+                            null,
+                            signal.getConstructor(String.class).newInstance("HUP"),
+                            java.lang.reflect.Proxy.newProxyInstance(null, new Class<?>[] {handler}, handle));
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this Java can't handle signals", e);
         }
@@ -175,20 +185,32 @@
      * connections that they have for most of it: the proxy that they would turn to may itself have just begun.
      */
     void drain() {
-        long longestMs = Math.min(MOST_DEADLINE_MS,
-                config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000);
+        long longestMs = Math.min(
+                MOST_DEADLINE_MS,
+                config.settings().classes().stream()
+                                .mapToLong(c -> c.deadlineUs())
+                                .max()
+                                .orElse(0)
+                        / 1_000);
         loop.execute(() -> {
             log.line(config.name() + ": draining");
             frontend.leave();
         });
-        loop.schedule(() -> {
-            frontend.stopListening();
-            loop.scheduleWithFixedDelay(() -> {
-                if (frontend.connected() == 0) {
-                    drained.countDown();
-                }
-            }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-        }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    frontend.stopListening();
+                    loop.scheduleWithFixedDelay(
+                            () -> {
+                                if (frontend.connected() == 0) {
+                                    drained.countDown();
+                                }
+                            },
+                            LOOK_MS,
+                            LOOK_MS,
+                            TimeUnit.MILLISECONDS);
+                },
+                FRONT_LAG_MS,
+                TimeUnit.MILLISECONDS);
         loop.schedule(frontend::closeAfterAnswers, Math.max(0, longestMs - FRONT_LAG_MS), TimeUnit.MILLISECONDS);
         loop.schedule(frontend::closeIdle, longestMs, TimeUnit.MILLISECONDS);
         loop.schedule(proxy::failAll, longestMs + KILL_MS - LAST_ANSWERS_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/beechfall/proxy/Sockets.java
+++ b/src/main/java/beechfall/proxy/Sockets.java
@@ -29,6 +29,7 @@
     private final Map<Channel, Long> idleBackends = new LinkedHashMap<>();
     /** Connections on which no whole request has come yet, and those idle after an answer; the oldest first. */
     private final Map<Channel, Long> silentClients = new LinkedHashMap<>();
+
     private final Map<Channel, Long> idleClients = new LinkedHashMap<>();
     private int clients;
     private int backends;
@@ -108,7 +109,9 @@
 
     /** Returns whether one more connection to a backend may be opened. */
     boolean roomForBackend() {
-        return Math.min(clients, mostClients) + backends < most || giveUp(idleBackends, 0) || giveUp(silentClients, GREETING_NS)
+        return Math.min(clients, mostClients) + backends < most
+                || giveUp(idleBackends, 0)
+                || giveUp(silentClients, GREETING_NS)
                 || giveUp(idleClients, 0);
     }
 
--- a/src/main/java/beechfall/proxy/Transport.java
+++ b/src/main/java/beechfall/proxy/Transport.java
@@ -30,25 +30,37 @@
  * channels inside the process. The bootstraps are templates, to be cloned. {@code silent} tells of a connection on which
  * nothing is expected whether nothing has come, no end either, that the loop is yet to read.
  */
-record Transport(EventLoop loop, ServerBootstrap server, Bootstrap client,
-        Function<InetSocketAddress, SocketAddress> addresses, Predicate<Channel> silent) {
+record Transport(
+        EventLoop loop,
+        ServerBootstrap server,
+        Bootstrap client,
+        Function<InetSocketAddress, SocketAddress> addresses,
+        Predicate<Channel> silent) {
     private static final int BACKLOG = 1_024;
     /** Each counts only after all of them are accepted: {@link Sockets} keeps so many places. */
     static final int ACCEPTED_AT_ONCE = 32;
+
     private static final int READS_AT_ONCE = 16;
 
     static Transport sockets() {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ServerBootstrap server = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 // A few at a time: one in each turn of a busy loop lets those that wait grow old.
-                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
                 // Up to the end of what has come, as that shows whether the client has gone meanwhile.
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE))
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(READS_AT_ONCE))
                 // The end of what a client sends is no end of what it is owed.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true);
         ByteBuffer one = ByteBuffer.allocateDirect(1);
         return new Transport(loop, server, new Bootstrap().group(loop).channel(NioSocketChannel.class), a -> a, c -> {
             try {
@@ -63,8 +75,12 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory()).next();
         // Such addresses are the whole process's: each transport has its own.
         String world = UUID.randomUUID().toString();
-        return new Transport(loop, new ServerBootstrap().group(loop).channel(LocalServerChannel.class),
-                new Bootstrap().group(loop).channel(LocalChannel.class), a -> new LocalAddress(world + a), c -> true);
+        return new Transport(
+                loop,
+                new ServerBootstrap().group(loop).channel(LocalServerChannel.class),
+                new Bootstrap().group(loop).channel(LocalChannel.class),
+                a -> new LocalAddress(world + a),
+                c -> true);
     }
 
     SocketAddress address(InetSocketAddress address) {
--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -39,6 +39,7 @@
     private static final int REQUESTS = 12_000;
     /** After so many all clients pause: a thread that never waits is taken for one that hangs. */
     private static final int ROUND = 240;
+
     private static final long PAUSE_MS = 1;
     private static final int CLIENTS = 8;
     private static final int BACKENDS = 10;
@@ -57,12 +58,26 @@
         ObjectNode known = Json.object().put("version", 1).put("full", true);
         ArrayNode servers = known.putArray("servers");
         for (int i = 0; i < BACKENDS; i++) {
-            servers.addObject().put("id", "warm-" + i).put("addr", "127.0.0.1:" + (i + 1)).put("zone", "a")
-                    .put("kind", "k").put("cell", 0).put("state", "ready").put("weight", 1.0).put("started_ms", 0);
+            servers.addObject()
+                    .put("id", "warm-" + i)
+                    .put("addr", "127.0.0.1:" + (i + 1))
+                    .put("zone", "a")
+                    .put("kind", "k")
+                    .put("cell", 0)
+                    .put("state", "ready")
+                    .put("weight", 1.0)
+                    .put("started_ms", 0);
         }
         list = known.toString();
-        config = new Config("warm-up", address(0), address(BACKENDS + 1), like.sockets(), known, like.settings(),
-                like.connIdleUs(), like.connectTimeoutUs());
+        config = new Config(
+                "warm-up",
+                address(0),
+                address(BACKENDS + 1),
+                like.sockets(),
+                known,
+                like.settings(),
+                like.connIdleUs(),
+                like.connectTimeoutUs());
     }
 
     /** Serves made-up requests until the code is warm or the time is up; returns how many were served. */
@@ -71,15 +86,19 @@
     }
 
     private static InetSocketAddress address(int port) {
-        return new InetSocketAddress("127.0.0.1", port);
+        return Config.address("127.0.0.1:" + port);
     }
 
     private int run(long mostMs) {
         var serve = new Serve(config, new Policy(config.settings()), transport);
         try {
             for (int i = 1; i <= BACKENDS + 1; i++) {
-                transport.server().clone().childHandler(pipeline(new Peer()))
-                        .bind(transport.address(address(i))).syncUninterruptibly();
+                transport
+                        .server()
+                        .clone()
+                        .childHandler(pipeline(new Peer()))
+                        .bind(transport.address(address(i)))
+                        .syncUninterruptibly();
             }
             serve.listen().syncUninterruptibly();
             for (int i = 0; i < CLIENTS; i++) {
@@ -109,8 +128,11 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(end instanceof Client ? new HttpClientCodec() : new HttpServerCodec(),
-                        new HttpObjectAggregator(Backends.MAX_BODY), end);
+                channel.pipeline()
+                        .addLast(
+                                end instanceof Client ? new HttpClientCodec() : new HttpServerCodec(),
+                                new HttpObjectAggregator(Backends.MAX_BODY),
+                                end);
             }
         };
     }
@@ -132,12 +154,14 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             boolean asksForList = request.uri().startsWith("/v1/");
-            if (asksForList && request.uri().contains("hold_ms") && !request.uri().contains("hold_ms=0")) {
+            if (asksForList
+                    && request.uri().contains("hold_ms")
+                    && !request.uri().contains("hold_ms=0")) {
                 return;
             }
             byte[] body = asksForList ? list.getBytes(StandardCharsets.US_ASCII) : BODY;
-            var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                    Unpooled.wrappedBuffer(body));
+            var answer = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
             HttpUtil.setContentLength(answer, body.length);
             later(ctx, answer);
         }
@@ -183,12 +207,19 @@
             List<Balancer.Tenant> tenants = config.settings().tenants();
             Balancer.RequestClass type = classes.get(sent % classes.size());
             boolean safe = type.effect() == Balancer.Effect.SAFE;
-            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
-                    "/api?k=" + sent, safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
-            request.headers().set("host", "warm-up").set(Headers.REQUEST_ID, Integer.toHexString(sent))
-                    .set(Headers.REQUEST_CLASS, type.name()).set(Headers.TIMEOUT, type.deadlineUs() / 1_000 + "m");
+            var request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    safe ? HttpMethod.GET : HttpMethod.POST,
+                    "/api?k=" + sent,
+                    safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
+            request.headers()
+                    .set("host", "warm-up")
+                    .set(Headers.REQUEST_ID, Integer.toHexString(sent))
+                    .set(Headers.REQUEST_CLASS, type.name())
+                    .set(Headers.TIMEOUT, type.deadlineUs() / 1_000 + "m");
             if (!tenants.isEmpty()) {
-                request.headers().set(Headers.TENANT, tenants.get(sent % tenants.size()).name());
+                request.headers()
+                        .set(Headers.TENANT, tenants.get(sent % tenants.size()).name());
             }
             if (!safe) {
                 HttpUtil.setContentLength(request, BODY.length);
--- a/src/main/java/beechfall/wire/Codec.java
+++ b/src/main/java/beechfall/wire/Codec.java
@@ -25,7 +25,7 @@
             "stale_copy", Balancer.ListKind.CACHED,
             "broken", Balancer.ListKind.FAILED);
 
-    private Codec() { }
+    private Codec() {}
 
     /** Reads the settings of an {@code up} line. */
     static Balancer.Settings settings(Fields up) {
@@ -38,27 +38,31 @@
 
     /** Reads an event that fits on one line, or returns null for one that the module has no use for. */
     static Balancer.Event event(String name, Fields in) {
-        switch (name) {
-            case "incoming":
-                return new Balancer.Arrival(in.text("op_id"), in.text("kind"), in.optional("user_group"),
-                        in.optional("path_key"), in.whole("patience_left_us"), in.flag("repeat"));
-            case "completed":
-                return new Balancer.AttemptEnded(in.text("op_id"), in.small("go"), in.text("backend"),
-                        word(in, "how", OUTCOMES), in.whole("cost_time_us"), in.flag("last"));
-            case "deadline_hit":
-                return new Balancer.TimerFired(in.text("ctx"));
-            case "hangup":
-                return new Balancer.ClientGone(in.text("op_id"));
-            case "flowing":
-                return new Balancer.StreamStarted(in.text("op_id"), in.small("go"));
-            case "probed":
-                return new Balancer.ProbeEnded(in.text("backend"), word(in, "how", OUTCOMES),
-                        in.whole("cost_time_us"));
-            case "inbox":
-                return null;
-            default:
-                throw new WireException("unknown event '" + name + "'");
-        }
+        return switch (name) {
+            case "incoming" ->
+                new Balancer.Arrival(
+                        in.text("op_id"),
+                        in.text("kind"),
+                        in.optional("user_group"),
+                        in.optional("path_key"),
+                        in.whole("patience_left_us"),
+                        in.flag("repeat"));
+            case "completed" ->
+                new Balancer.AttemptEnded(
+                        in.text("op_id"),
+                        in.small("go"),
+                        in.text("backend"),
+                        word(in, "how", OUTCOMES),
+                        in.whole("cost_time_us"),
+                        in.flag("last"));
+            case "deadline_hit" -> new Balancer.TimerFired(in.text("ctx"));
+            case "hangup" -> new Balancer.ClientGone(in.text("op_id"));
+            case "flowing" -> new Balancer.StreamStarted(in.text("op_id"), in.small("go"));
+            case "probed" ->
+                new Balancer.ProbeEnded(in.text("backend"), word(in, "how", OUTCOMES), in.whole("cost_time_us"));
+            case "inbox" -> null;
+            default -> throw new WireException("unknown event '" + name + "'");
+        };
     }
 
     static Balancer.ListKind listKind(Fields in) {
@@ -70,18 +74,32 @@
         if (!in.name().equals("entry")) {
             throw new WireException("expected 'entry', found '" + in.name() + "'");
         }
-        return new Balancer.Backend(in.text("backend"), word(in, "stage_state", STATES), in.optional("machine"),
-                in.optional("zone"), (int) in.whole("group", 0), in.whole("last_start_us", 0),
+        return new Balancer.Backend(
+                in.text("backend"),
+                word(in, "stage_state", STATES),
+                in.optional("machine"),
+                in.optional("zone"),
+                (int) in.whole("group", 0),
+                in.whole("last_start_us", 0),
                 in.number("capacity_hint", 1));
     }
 
     /** Appends the line of an action. */
     static void write(StringBuilder out, int who, Balancer.Action action) {
         if (action instanceof Balancer.Send a) {
-            head(out, "relay", who).append(" op_id=").append(a.id()).append(" backend=").append(a.backend())
-                    .append(" max_wait_us=").append(a.timeoutUs());
+            head(out, "relay", who)
+                    .append(" op_id=")
+                    .append(a.id())
+                    .append(" backend=")
+                    .append(a.backend())
+                    .append(" max_wait_us=")
+                    .append(a.timeoutUs());
         } else if (action instanceof Balancer.SetTimer a) {
-            head(out, "arm", who).append(" fire_at_us=").append(a.atUs()).append(" ctx=").append(a.token());
+            head(out, "arm", who)
+                    .append(" fire_at_us=")
+                    .append(a.atUs())
+                    .append(" ctx=")
+                    .append(a.token());
         } else if (action instanceof Balancer.Refuse a) {
             head(out, "not_now", who).append(" op_id=").append(a.id());
             if (a.retryAfterUs() > 0) {
@@ -90,7 +108,11 @@
         } else if (action instanceof Balancer.Fail a) {
             head(out, "finish_error", who).append(" op_id=").append(a.id());
         } else if (action instanceof Balancer.Cancel a) {
-            head(out, "retract", who).append(" op_id=").append(a.id()).append(" go=").append(a.attempt());
+            head(out, "retract", who)
+                    .append(" op_id=")
+                    .append(a.id())
+                    .append(" go=")
+                    .append(a.attempt());
         } else if (action instanceof Balancer.Release a) {
             head(out, "release", who).append(" backend=").append(a.backend());
         } else if (action instanceof Balancer.Probe a) {
--- a/src/main/java/beechfall/wire/Fields.java
+++ b/src/main/java/beechfall/wire/Fields.java
@@ -15,7 +15,7 @@
         count = 0;
         int length = text.length();
         nameEnd = end(0);
-        for (int start = nameEnd + 1; start < length;) {
+        for (int start = nameEnd + 1; start < length; ) {
             int stop = end(start);
             int equals = text.indexOf('=', start);
             if (equals <= start || equals >= stop) {
--- a/src/main/java/beechfall/wire/Main.java
+++ b/src/main/java/beechfall/wire/Main.java
@@ -6,7 +6,7 @@
 
 /** The command line: {@code drill} hosts instances of the module on standard input and output. */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /**
      * Runs the host.
--- a/src/main/java/beechfall/wire/SettingsReader.java
+++ b/src/main/java/beechfall/wire/SettingsReader.java
@@ -53,8 +53,13 @@
             String path = "profiles." + i + ".";
             var effect = word(path + "effect", EFFECTS);
             boolean keyed = effect == Balancer.Effect.KEYED;
-            classes.add(new Balancer.RequestClass(text(path + "name"), whole(path + "aim_us"),
-                    whole(path + "deadline_us"), number(path + "value"), number(path + "late_worth"), effect,
+            classes.add(new Balancer.RequestClass(
+                    text(path + "name"),
+                    whole(path + "aim_us"),
+                    whole(path + "deadline_us"),
+                    number(path + "value"),
+                    number(path + "late_worth"),
+                    effect,
                     keyed ? word(path + "key_scope", SCOPES) : Balancer.Scope.ALL,
                     keyed ? whole(path + "window_us") : 0));
         }
@@ -64,16 +69,33 @@
             String path = "projects." + i + ".";
             tenants.add(new Balancer.Tenant(text(path + "name"), number(path + "allowance_per_s")));
         }
-        var limits = new Balancer.Limits(flag("bounds.cancel"), flag("bounds.may_duplicate"), flag("bounds.probes"),
-                word("registry_mode", MODES), (int) whole("bounds.most_tries"),
+        var limits = new Balancer.Limits(
+                flag("bounds.cancel"),
+                flag("bounds.may_duplicate"),
+                flag("bounds.probes"),
+                word("registry_mode", MODES),
+                (int) whole("bounds.most_tries"),
                 has("bounds.retry_after") && !flag("bounds.retry_after") ? 0 : whole("bounds.max_retry_after_us"),
                 whole("bounds.connect_timeout_us"));
-        var rules = new Balancer.Rules(number("invariants.cold_from"), whole("invariants.cold_us"),
-                number("invariants.fall_multiple"), whole("invariants.fall_us"), whole("invariants.must_ask_in_us"),
+        var rules = new Balancer.Rules(
+                number("invariants.cold_from"),
+                whole("invariants.cold_us"),
+                number("invariants.fall_multiple"),
+                whole("invariants.fall_us"),
+                whole("invariants.must_ask_in_us"),
                 has("invariants.full_unproven") && flag("invariants.full_unproven"));
-        return new Balancer.Settings((int) whole("balancers"), (int) whole("rank"), text("locality"),
-                whole("quantum_us"), classes, tenants, tenantCount > 0 ? number("over_share_worth") : 1,
-                has("extra.warm_keys") && flag("extra.warm_keys"), limits, rules, seed);
+        return new Balancer.Settings(
+                (int) whole("balancers"),
+                (int) whole("rank"),
+                text("locality"),
+                whole("quantum_us"),
+                classes,
+                tenants,
+                tenantCount > 0 ? number("over_share_worth") : 1,
+                has("extra.warm_keys") && flag("extra.warm_keys"),
+                limits,
+                rules,
+                seed);
     }
 
     private boolean has(String path) {
--- a/src/test/java/beechfall/CrowdTest.java
+++ b/src/test/java/beechfall/CrowdTest.java
@@ -70,8 +70,13 @@
         for (int i = 0; i < 20; i++) {
             p.arrive(READ);
         }
-        var hints = p.actions.stream().filter(a -> a instanceof Refuse).map(a -> ((Refuse) a).retryAfterUs()).toList();
-        assertThat(hints).hasSizeGreaterThan(5).doesNotHaveDuplicates()
+        var hints = p.actions.stream()
+                .filter(a -> a instanceof Refuse)
+                .map(a -> ((Refuse) a).retryAfterUs())
+                .toList();
+        assertThat(hints)
+                .hasSizeGreaterThan(5)
+                .doesNotHaveDuplicates()
                 .allSatisfy(hint -> assertThat(hint).isBetween(60 * MS, most));
     }
 
@@ -106,7 +111,9 @@
         for (int i = 0; i < 100; i++) {
             proxy.arrive(READ);
         }
-        long sent = proxy.actions.subList(before, proxy.actions.size()).stream().filter(a -> a instanceof Send).count();
+        long sent = proxy.actions.subList(before, proxy.actions.size()).stream()
+                .filter(a -> a instanceof Send)
+                .count();
         // 400 answers a second, and a fifth of the shortest aim (400 ms).
         assertThat(sent).isBetween(25L, 35L);
     }
@@ -130,9 +137,11 @@
     @Test
     void aLoneProxyKeepsItsBackendsBusyWhenUnqueuedWorkFillsTheLimit() {
         // One of three, the others gone. An answer takes 200 ms without a queue, more than a fifth of the shortest aim.
-        var p = new Proxy(new Balancer.Settings(3, 0, "a", MS, List.of(READ, Proxy.PAY), List.of(), 1, false, LIMITS, RULES, 1));
+        var p = new Proxy(
+                new Balancer.Settings(3, 0, "a", MS, List.of(READ, Proxy.PAY), List.of(), 1, false, LIMITS, RULES, 1));
         p.list(backend("a"), backend("b"), backend("c"));
-        var out = new java.util.ArrayDeque<String>();
+        record Sent(String id, long at) {}
+        var out = new java.util.ArrayDeque<Sent>();
         int seen = 0;
         int inLastSecond = 0;
         for (int step = 0; step < 3000; step++) {
@@ -140,12 +149,12 @@
             p.arrive(READ);
             for (; seen < p.actions.size(); seen++) {
                 if (p.actions.get(seen) instanceof Send s) {
-                    out.add(s.id() + " " + p.now);
+                    out.add(new Sent(s.id(), p.now));
                     inLastSecond += step >= 2950 ? 1 : 0;
                 }
             }
-            while (!out.isEmpty() && Long.parseLong(out.peek().split(" ")[1]) + 200 * MS <= p.now) {
-                p.end(out.remove().split(" ")[0], Outcome.OK, 200 * MS);
+            while (!out.isEmpty() && out.peek().at() + 200 * MS <= p.now) {
+                p.end(out.remove().id(), Outcome.OK, 200 * MS);
             }
         }
         // Fifty came in; three at a time would be fifteen.
@@ -155,7 +164,8 @@
     @Test
     void twelveProxiesTogetherHoldNoMoreThanOne() {
         var alone = new Proxy();
-        var oneOfTwelve = new Proxy(new Balancer.Settings(12, 0, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
+        var oneOfTwelve =
+                new Proxy(new Balancer.Settings(12, 0, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
         var backends = new Balancer.Backend[24];
         for (int i = 0; i < backends.length; i++) {
             backends[i] = backend("s" + i);
@@ -171,13 +181,16 @@
             backends[i] = backend("s" + i, "std", i % 2 == 0 ? "a" : "b", 1);
         }
         for (int rank = 0; rank < 12; rank++) {
-            var p = new Proxy(new Balancer.Settings(12, rank, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, rank));
+            var p = new Proxy(
+                    new Balancer.Settings(12, rank, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, rank));
             p.list(backends);
             for (int i = 0; i < 6; i++) {
                 gathered.merge(p.lastSend(p.arrive(READ)).backend(), 1, Integer::sum);
             }
         }
-        assertThat(gathered).hasSize(24).allSatisfy((id, proxies) -> assertThat(proxies).isEqualTo(3));
+        assertThat(gathered)
+                .hasSize(24)
+                .allSatisfy((id, proxies) -> assertThat(proxies).isEqualTo(3));
     }
 
     @Test
@@ -197,11 +210,9 @@
     @Test
     void roomIsNotGivenToARepeatThatIsLateAlready() {
         proxy.list(backend("a"));
-        var out = new ArrayList<String>();
         for (int i = 0; i < 4; i++) {
             String id = "first" + i;
             proxy.feed(new Balancer.Arrival(id, "read", null, null, 1800 * MS, false));
-            out.add(id);
         }
         assertThat(proxy.sends("first2")).isEqualTo(1);
         assertThat(proxy.sends("first3")).isZero();
@@ -240,8 +251,14 @@
             out.add(p.arrive(READ));
         }
         String freed = p.lastSend(out.get(0)).backend();
-        String other = java.util.Arrays.stream(key).filter(k -> !home.get(k).equals(freed)).findFirst().orElseThrow();
-        String fits = java.util.Arrays.stream(key).filter(k -> home.get(k).equals(freed)).findFirst().orElseThrow();
+        String other = java.util.Arrays.stream(key)
+                .filter(k -> !home.get(k).equals(freed))
+                .findFirst()
+                .orElseThrow();
+        String fits = java.util.Arrays.stream(key)
+                .filter(k -> home.get(k).equals(freed))
+                .findFirst()
+                .orElseThrow();
         p.feed(new Balancer.Arrival("other", "read", null, other, 2 * Proxy.S, false));
         p.now += MS;
         p.feed(new Balancer.Arrival("fits", "read", null, fits, 2 * Proxy.S, false));
@@ -255,7 +272,9 @@
     private static Proxy oneOfHundreds(int rank, Balancer.RequestClass... classes) {
         var all = classes.length == 0 ? List.of(READ) : List.of(classes);
         var p = new Proxy(new Balancer.Settings(400, rank, "a", MS, all, List.of(), 1, false, LIMITS, RULES, rank));
-        p.list(java.util.stream.IntStream.range(0, 60).mapToObj(i -> backend("s" + i)).toArray(Balancer.Backend[]::new));
+        p.list(java.util.stream.IntStream.range(0, 60)
+                .mapToObj(i -> backend("s" + i))
+                .toArray(Balancer.Backend[]::new));
         p.run(5 * Proxy.S);
         return p;
     }
@@ -330,7 +349,8 @@
                 p.run(170 * MS);
             }
         }
-        // All serve 33 a second at each of 60 backends. In 5 s a new one starts at 40% of that and may get up to 4 times as much.
+        // All serve 33 a second at each of 60 backends. In 5 s a new one starts at 40% of that and may get up to 4
+        // times as much.
         assertThat(got).isBetween(5 * 33 * 4 / 10 / 2, 5 * 33 * 4 / 10 * 3);
     }
 
@@ -357,10 +377,14 @@
             String stuckAt = p.lastSend(p.arrive(READ)).backend();
             first.merge(stuckAt, 1, Integer::sum);
             p.run(300 * MS);
-            second.computeIfAbsent(stuckAt, id -> new java.util.HashSet<>()).add(p.lastSend(p.arrive(READ)).backend());
+            second.computeIfAbsent(stuckAt, id -> new java.util.HashSet<>())
+                    .add(p.lastSend(p.arrive(READ)).backend());
         }
-        assertThat(first).hasSize(60).allSatisfy((id, proxies) -> assertThat(proxies).isBetween(4, 9));
-        assertThat(second).allSatisfy((id, next) -> assertThat(next).doesNotContain(id).hasSizeGreaterThan(3));
+        assertThat(first)
+                .hasSize(60)
+                .allSatisfy((id, proxies) -> assertThat(proxies).isBetween(4, 9));
+        assertThat(second)
+                .allSatisfy((id, next) -> assertThat(next).doesNotContain(id).hasSizeGreaterThan(3));
     }
 
     @Test
@@ -422,7 +446,9 @@
             p.serve(READ, 20 * MS);
             p.run(2 * Proxy.S);
         }
-        assertThat(p.serve(READ, 20 * MS)).as("its own answers are forgotten in time").isEqualTo(slow);
+        assertThat(p.serve(READ, 20 * MS))
+                .as("its own answers are forgotten in time")
+                .isEqualTo(slow);
     }
 
     private static long burst(Proxy p, Balancer.Backend... backends) {
@@ -460,7 +486,10 @@
             out.stream().filter(id -> p.sends(id) > 0).forEach(id -> p.end(id, Outcome.OK, 100 * MS));
             p.run(together == 1 ? 200 * MS : 0);
         }
-        return p.actions.subList(before, p.actions.size()).stream().filter(a -> a instanceof Send)
-                .map(a -> ((Send) a).backend()).distinct().count();
+        return p.actions.subList(before, p.actions.size()).stream()
+                .filter(a -> a instanceof Send)
+                .map(a -> ((Send) a).backend())
+                .distinct()
+                .count();
     }
 }
--- a/src/test/java/beechfall/LedgerTest.java
+++ b/src/test/java/beechfall/LedgerTest.java
@@ -37,6 +37,8 @@
 
 /** Random legal events, with the rules checked by books of the test's own. */
 class LedgerTest {
+    private static final List<State> STATES = List.of(State.READY, State.DRAINING, State.GONE);
+
     private static final long TICK = 4_000;
 
     @ParameterizedTest
@@ -49,7 +51,7 @@
         assertThat(books.attemptsSent).isGreaterThan(50);
     }
 
-    private record Due(long at, long order, Event event) { }
+    private record Due(long at, long order, Event event) {}
 
     private static final class Try {
         private final String backend;
@@ -64,7 +66,7 @@
         }
 
         boolean mayHaveRun(Rules rules) {
-            return outcome == null || !outcome.neverRan() || outcome == Outcome.FULL && rules.fullUnproven();
+            return outcome == null || !outcome.neverRan() || (outcome == Outcome.FULL && rules.fullUnproven());
         }
     }
 
@@ -87,8 +89,8 @@
         private final Map<String, Open> requests = new HashMap<>();
         private final Map<String, Backend> listed = new LinkedHashMap<>();
         private final Map<String, List<Long>> coldSends = new HashMap<>();
-        private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at() != b.at()
-                ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+        private final PriorityQueue<Due> due = new PriorityQueue<>(
+                (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
         private long now = 5_000_000_000L;
         private long order;
         private int arrived;
@@ -100,17 +102,37 @@
             var classes = new ArrayList<RequestClass>();
             for (Effect effect : Effect.values()) {
                 for (Scope scope : Scope.values()) {
-                    classes.add(new RequestClass(effect + "-" + scope, 150_000 + random.nextInt(500_000),
-                            700_000 + random.nextInt(2_000_000), 1 + random.nextInt(9), random.nextInt(3) / 4.0, effect,
-                            scope, 100_000 + random.nextInt(1_000_000)));
+                    classes.add(new RequestClass(
+                            effect + "-" + scope,
+                            150_000 + random.nextInt(500_000),
+                            700_000 + random.nextInt(2_000_000),
+                            1 + random.nextInt(9),
+                            random.nextInt(3) / 4.0,
+                            effect,
+                            scope,
+                            100_000 + random.nextInt(1_000_000)));
                 }
             }
-            settings = new Settings(1 + random.nextInt(4), 0, "a", TICK, classes, random.nextBoolean() ? List.of()
-                    : List.of(new Tenant("t", 50)), 0.1, false,
-                    new Limits(random.nextBoolean(), random.nextBoolean(), random.nextBoolean(), random.nextBoolean(),
-                            1 + random.nextInt(5), 1_000_000, random.nextInt(200_000)),
-                    new Rules(0.3, 8_000_000, 3, 1_000_000 + random.nextInt(2_000_000), 10_000_000,
-                            random.nextBoolean()), seed);
+            settings = new Settings(
+                    1 + random.nextInt(4),
+                    0,
+                    "a",
+                    TICK,
+                    classes,
+                    random.nextBoolean() ? List.of() : List.of(new Tenant("t", 50)),
+                    0.1,
+                    false,
+                    new Limits(
+                            random.nextBoolean(),
+                            random.nextBoolean(),
+                            random.nextBoolean(),
+                            random.nextBoolean(),
+                            1 + random.nextInt(5),
+                            1_000_000,
+                            random.nextInt(200_000)),
+                    new Rules(
+                            0.3, 8_000_000, 3, 1_000_000 + random.nextInt(2_000_000), 10_000_000, random.nextBoolean()),
+                    seed);
             policy = new Policy(settings);
         }
 
@@ -130,7 +152,9 @@
                     happen();
                 }
                 for (Open r : requests.values()) {
-                    assertThat(r.over || now <= r.deadline + 3 * TICK).as("answered before the client leaves").isTrue();
+                    assertThat(r.over || now <= r.deadline + 3 * TICK)
+                            .as("answered before the client leaves")
+                            .isTrue();
                 }
                 requests.values().removeIf(r -> r.over && r.tries.stream().allMatch(t -> t.outcome != null));
             }
@@ -139,15 +163,17 @@
         private void happen() {
             int arrivals = random.nextInt(100) < 30 ? random.nextInt(4) : 0;
             for (int i = 0; i < arrivals; i++) {
-                RequestClass type = settings.classes().get(random.nextInt(settings.classes().size()));
+                RequestClass type =
+                        settings.classes().get(random.nextInt(settings.classes().size()));
                 long left = (long) (type.deadlineUs() * (0.2 + 0.8 * random.nextDouble()));
                 String id = "q" + arrived++;
                 requests.put(id, new Open(type, now + left));
-                feed(new Arrival(id, type.name(), random.nextBoolean() ? "t" : null, null, left, random.nextInt(5) == 0));
+                feed(new Arrival(
+                        id, type.name(), random.nextBoolean() ? "t" : null, null, left, random.nextInt(5) == 0));
             }
             if (random.nextInt(200) == 0) {
                 String id = "s" + random.nextInt(8);
-                State state = State.values()[random.nextInt(3)];
+                State state = STATES.get(random.nextInt(STATES.size()));
                 Backend b = backend(id, state, random.nextInt(3) == 0 ? now - random.nextInt(3_000_000) : 0);
                 listed.put(id, b);
                 feed(new Members(ListKind.DELTA, List.of(b)));
@@ -162,8 +188,14 @@
         }
 
         private Backend backend(String id, State state, long startedAt) {
-            return new Backend(id, state, "k" + random.nextInt(2), random.nextBoolean() ? "a" : "b", random.nextInt(3),
-                    startedAt, 1);
+            return new Backend(
+                    id,
+                    state,
+                    "k" + random.nextInt(2),
+                    random.nextBoolean() ? "a" : "b",
+                    random.nextInt(3),
+                    startedAt,
+                    1);
         }
 
         private void deliver(Event event) {
@@ -203,7 +235,9 @@
                 } else if (action instanceof Cancel a) {
                     assertThat(settings.limits().cancel()).isTrue();
                     Try t = requests.get(a.id()).tries.get(a.attempt());
-                    due.add(new Due(now + TICK, order++,
+                    due.add(new Due(
+                            now + TICK,
+                            order++,
                             new AttemptEnded(a.id(), a.attempt(), t.backend, Outcome.CANCELLED, now - t.sentAt, true)));
                 } else if (action instanceof SetTimer a) {
                     due.add(new Due(Math.max(a.atUs(), now + 1), order++, new TimerFired(a.token())));
@@ -225,7 +259,8 @@
             for (Try t : r.tries) {
                 if (t.mayHaveRun(settings.rules())) {
                     assertThat(r.type.effect()).isNotEqualTo(Effect.UNSAFE);
-                    assertThat(r.type.effect() == Effect.SAFE || r.type.scope() == Scope.ALL).isTrue();
+                    assertThat(r.type.effect() == Effect.SAFE || r.type.scope() == Scope.ALL)
+                            .isTrue();
                 }
             }
             over(id);
@@ -242,26 +277,32 @@
             assertThat(a.timeoutUs()).isPositive();
             assertThat(now + a.timeoutUs()).isLessThanOrEqualTo(r.deadline);
             for (Try t : r.tries) {
-                assertThat(settings.limits().secondCopies() || t.outcome != null).isTrue();
+                assertThat(settings.limits().secondCopies() || t.outcome != null)
+                        .isTrue();
                 if (t.mayHaveRun(settings.rules()) && r.type.effect() != Effect.SAFE) {
                     assertThat(r.type.effect()).isEqualTo(Effect.KEYED);
                     assertThat(now + settings.limits().connectTimeoutUs()).isLessThan(t.sentAt + r.type.windowUs());
-                    assertThat(switch (r.type.scope()) {
-                        case ALL -> true;
-                        case ZONE -> t.sentTo.zone().equals(to.zone());
-                        case CELL -> t.sentTo.cell() == to.cell();
-                    }).isTrue();
+                    assertThat(
+                                    switch (r.type.scope()) {
+                                        case ALL -> true;
+                                        case ZONE -> t.sentTo.zone().equals(to.zone());
+                                        case CELL -> t.sentTo.cell() == to.cell();
+                                    })
+                            .isTrue();
                 }
             }
             cold(to);
             r.tries.add(new Try(to, now));
             int attempt = r.tries.size() - 1;
-            Outcome outcome = random.nextInt(10) < 6 ? Outcome.OK
+            Outcome outcome = random.nextInt(10) < 6
+                    ? Outcome.OK
                     : List.of(Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)
                             .get(random.nextInt(5));
-            long latency = outcome == Outcome.TIMEOUT ? a.timeoutUs()
+            long latency = outcome == Outcome.TIMEOUT
+                    ? a.timeoutUs()
                     : Math.min(a.timeoutUs() - 1, 1_000 + random.nextInt(60_000));
-            due.add(new Due(now + latency, order++, new AttemptEnded(a.id(), attempt, to.id(), outcome, latency, false)));
+            due.add(new Due(
+                    now + latency, order++, new AttemptEnded(a.id(), attempt, to.id(), outcome, latency, false)));
             if (attempt == 0 && random.nextInt(50) == 0) {
                 due.add(new Due(now + random.nextInt(100_000), order++, new ClientGone(a.id())));
             }
@@ -275,7 +316,8 @@
             }
             List<Long> sends = coldSends.computeIfAbsent(to.id() + "@" + to.startedAtUs(), key -> new ArrayList<>());
             sends.add(now);
-            long inWindow = sends.stream().filter(at -> at > now - rules.fallUs()).count();
+            long inWindow =
+                    sends.stream().filter(at -> at > now - rules.fallUs()).count();
             double share = rules.coldFrom() + (1 - rules.coldFrom()) * (now - to.startedAtUs()) / rules.coldUs();
             double most = rules.fallMultiple() * share * 40 * rules.fallUs() / 1e6 / settings.balancers();
             assertThat((double) inWindow).as("cold budget").isLessThanOrEqualTo(Math.max(2, most));
--- a/src/test/java/beechfall/PickTest.java
+++ b/src/test/java/beechfall/PickTest.java
@@ -25,7 +25,9 @@
 
     @Test
     void worksThePapersTwoEndpointExample() {
-        proxy.list(new Backend("d1", State.READY, "one", "a", 1, 0, 1), new Backend("d2", State.READY, "two", "a", 1, 0, 2));
+        proxy.list(
+                new Backend("d1", State.READY, "one", "a", 1, 0, 1),
+                new Backend("d2", State.READY, "two", "a", 1, 0, 2));
         var order = new ArrayList<String>();
         for (int i = 0; i < 3; i++) {
             String id = proxy.arrive(READ);
@@ -136,7 +138,9 @@
             proxy.end(id, Outcome.OK, 10 * MS);
             if (i > 300) {
                 int now = i;
-                assertThat(last).hasSize(3).allSatisfy((backend, sent) -> assertThat(now - sent).isLessThan(40));
+                assertThat(last)
+                        .hasSize(3)
+                        .allSatisfy((backend, sent) -> assertThat(now - sent).isLessThan(40));
             }
         }
     }
@@ -188,8 +192,8 @@
         var backends = new Backend[] {backend("a"), backend("b"), backend("c"), backend("d")};
         var homes = new HashMap<String, String>();
         for (long seed = 1; seed <= 3; seed++) {
-            var p = new Proxy(new Balancer.Settings(3, 0, "a", MS, List.of(READ), List.of(), 1, true, Proxy.LIMITS, Proxy.RULES,
-                    seed));
+            var p = new Proxy(new Balancer.Settings(
+                    3, 0, "a", MS, List.of(READ), List.of(), 1, true, Proxy.LIMITS, Proxy.RULES, seed));
             p.list(backends);
             for (int i = 0; i < 40; i++) {
                 String key = "key" + i;
@@ -221,7 +225,9 @@
         proxy.arrive(READ);
         String third = proxy.arrive(READ);
         String fourth = proxy.arrive(READ);
-        assertThat(List.of(proxy.lastSend(third).backend(), proxy.lastSend(fourth).backend())).contains("far");
+        assertThat(List.of(
+                        proxy.lastSend(third).backend(), proxy.lastSend(fourth).backend()))
+                .contains("far");
     }
 
     @Test
--- a/src/test/java/beechfall/Proxy.java
+++ b/src/test/java/beechfall/Proxy.java
@@ -31,19 +31,16 @@
     static final long MS = 1_000;
     static final long S = 1_000_000;
 
-    static final RequestClass READ =
-            new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0);
+    static final RequestClass READ = new RequestClass("read", 600 * MS, 2 * S, 1, 0, Effect.SAFE, Scope.ALL, 0);
     static final RequestClass PAY =
             new RequestClass("pay", 400 * MS, 2 * S, 10, 0, Effect.KEYED, Scope.ZONE, 1200 * MS);
-    static final RequestClass BOOK =
-            new RequestClass("book", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.CELL, 12 * S);
-    static final RequestClass NOTE =
-            new RequestClass("note", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.ALL, 12 * S);
-    static final RequestClass VOTE =
-            new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0);
+    static final RequestClass BOOK = new RequestClass("book", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.CELL, 12 * S);
+    static final RequestClass NOTE = new RequestClass("note", 600 * MS, 2 * S, 2, 0, Effect.KEYED, Scope.ALL, 12 * S);
+    static final RequestClass VOTE = new RequestClass("vote", 600 * MS, 2 * S, 3, 0, Effect.UNSAFE, Scope.ALL, 0);
 
     /** No hints when to come back: a refusal then equals any other. */
     static final Limits LIMITS = new Limits(true, false, false, false, 4, 0, 0);
+
     static final Rules RULES = new Rules(0.4, 8 * S, 4, S, 10 * S, false);
 
     final Policy policy;
@@ -62,8 +59,18 @@
     }
 
     static Settings settings(Limits limits, Rules rules, Tenant... tenants) {
-        return new Settings(1, 0, "a", 4 * MS, List.of(READ, PAY, BOOK, NOTE, VOTE), List.of(tenants), 0.05, false, limits,
-                rules, 7);
+        return new Settings(
+                1,
+                0,
+                "a",
+                4 * MS,
+                List.of(READ, PAY, BOOK, NOTE, VOTE),
+                List.of(tenants),
+                0.05,
+                false,
+                limits,
+                rules,
+                7);
     }
 
     static Backend backend(String id, String kind, String zone, int cell) {
@@ -112,8 +119,8 @@
     /** The latest attempt of a request ends. */
     List<Action> end(String id, Outcome outcome, long latencyUs) {
         Send send = lastSend(id);
-        return feed(new AttemptEnded(id, attempts.get(id) - 1, send.backend(), outcome, latencyUs,
-                outcome == Outcome.OK));
+        return feed(
+                new AttemptEnded(id, attempts.get(id) - 1, send.backend(), outcome, latencyUs, outcome == Outcome.OK));
     }
 
     List<Action> timer(String token) {
@@ -124,8 +131,10 @@
     void run(long forUs) {
         long until = now + forUs;
         while (true) {
-            var due = actions.stream().filter(a -> a instanceof SetTimer t && t.atUs() <= until && !fired.contains(t))
-                    .map(a -> (SetTimer) a).min(java.util.Comparator.comparingLong(SetTimer::atUs));
+            var due = actions.stream()
+                    .filter(a -> a instanceof SetTimer t && t.atUs() <= until && !fired.contains(t))
+                    .map(a -> (SetTimer) a)
+                    .min(java.util.Comparator.comparingLong(SetTimer::atUs));
             if (due.isEmpty()) {
                 now = until;
                 return;
--- a/src/test/java/beechfall/RulesTest.java
+++ b/src/test/java/beechfall/RulesTest.java
@@ -94,9 +94,11 @@
         void eventsForWhatIsNotHeldArePassedOver() {
             proxy.list(backend("a"));
             assertThat(proxy.feed(new ClientGone("nobody"))).isEmpty();
-            assertThat(proxy.feed(new Balancer.AttemptEnded("nobody", 0, "a", Outcome.OK, MS, true))).isEmpty();
+            assertThat(proxy.feed(new Balancer.AttemptEnded("nobody", 0, "a", Outcome.OK, MS, true)))
+                    .isEmpty();
             assertThat(proxy.feed(new StreamStarted("nobody", 0))).isEmpty();
-            assertThat(proxy.feed(new Balancer.ProbeEnded("gone", Outcome.OK, MS))).isEmpty();
+            assertThat(proxy.feed(new Balancer.ProbeEnded("gone", Outcome.OK, MS)))
+                    .isEmpty();
         }
 
         @Test
@@ -104,7 +106,8 @@
             proxy.list(backend("a"), backend("b"));
             String id = proxy.arrive(READ);
             proxy.feed(new StreamStarted(id, 0));
-            assertThat(proxy.feed(new Balancer.AttemptEnded(id, 0, "a", Outcome.RESET, 3 * S, true))).isEmpty();
+            assertThat(proxy.feed(new Balancer.AttemptEnded(id, 0, "a", Outcome.RESET, 3 * S, true)))
+                    .isEmpty();
         }
     }
 
@@ -137,7 +140,10 @@
 
         @Test
         void aKeyedRequestThatMayHaveRunStaysInItsZone() {
-            proxy.list(backend("a1", "std", "a", 1), backend("b1", "std", "b", 2), backend("b2", "std", "b", 3),
+            proxy.list(
+                    backend("a1", "std", "a", 1),
+                    backend("b1", "std", "b", 2),
+                    backend("b2", "std", "b", 3),
                     backend("a2", "std", "a", 4));
             for (int i = 0; i < 8; i++) {
                 String id = proxy.arrive(PAY);
@@ -164,10 +170,10 @@
 
         @Test
         void aKeyedRequestIsNotSentAgainPastItsWindow() {
-            var shortWindow = new Balancer.RequestClass("pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED,
-                    Balancer.Scope.ZONE, 100 * MS);
-            var p = new Proxy(new Balancer.Settings(1, 0, "a", MS, List.of(shortWindow), List.of(), 1, false, LIMITS, RULES,
-                    1));
+            var shortWindow = new Balancer.RequestClass(
+                    "pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED, Balancer.Scope.ZONE, 100 * MS);
+            var p = new Proxy(
+                    new Balancer.Settings(1, 0, "a", MS, List.of(shortWindow), List.of(), 1, false, LIMITS, RULES, 1));
             p.list(backend("a"), backend("b"));
             String id = p.arrive(shortWindow);
             p.now += 100 * MS;
@@ -179,10 +185,20 @@
         @Test
         void aKeyedRequestIsNotSentAgainWhereItMayBeginPastItsWindow() {
             long connectUs = 200 * MS;
-            var shortWindow = new Balancer.RequestClass("pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED,
-                    Balancer.Scope.ZONE, 400 * MS);
-            var p = new Proxy(new Balancer.Settings(1, 0, "a", MS, List.of(shortWindow), List.of(), 1, false,
-                    new Limits(true, false, false, false, 4, 0, connectUs), RULES, 1));
+            var shortWindow = new Balancer.RequestClass(
+                    "pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED, Balancer.Scope.ZONE, 400 * MS);
+            var p = new Proxy(new Balancer.Settings(
+                    1,
+                    0,
+                    "a",
+                    MS,
+                    List.of(shortWindow),
+                    List.of(),
+                    1,
+                    false,
+                    new Limits(true, false, false, false, 4, 0, connectUs),
+                    RULES,
+                    1));
             p.list(backend("a"), backend("b"), backend("c"));
             String late = p.arrive(shortWindow);
             String soon = p.arrive(shortWindow);
@@ -224,8 +240,7 @@
 
     @Nested
     class FullIsNoProofWhereTheRulesSaySo {
-        private final Proxy doubting =
-                new Proxy(Proxy.settings(LIMITS, new Rules(0.4, 8 * S, 4, S, 10 * S, true)));
+        private final Proxy doubting = new Proxy(Proxy.settings(LIMITS, new Rules(0.4, 8 * S, 4, S, 10 * S, true)));
 
         @Test
         void anUnsafeRequestIsNeitherSentAgainNorRefused() {
@@ -339,7 +354,8 @@
         @Test
         void aListThatMustBeAskedForIsAskedForAtOnceAndAgainAfterAFailure() {
             var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
-            assertThat(p.feed(new Members(ListKind.CACHED, List.of(backend("a"))))).contains(new Watch(true));
+            assertThat(p.feed(new Members(ListKind.CACHED, List.of(backend("a")))))
+                    .contains(new Watch(true));
             List<Action> after = p.feed(new Members(ListKind.FAILED, List.of()));
             SetTimer timer = (SetTimer) after.get(0);
             assertThat(timer.atUs()).isBetween(p.now + 1, p.now + RULES.askWithinUs());
@@ -351,11 +367,22 @@
         @Test
         void proxiesDoNotAskAgainInStep() {
             var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
-            var q = new Proxy(new Balancer.Settings(1, 0, "a", MS, List.of(READ), List.of(), 1, false,
-                    new Limits(true, false, false, true, 4, 0, 0), RULES, 8));
+            var q = new Proxy(new Balancer.Settings(
+                    1,
+                    0,
+                    "a",
+                    MS,
+                    List.of(READ),
+                    List.of(),
+                    1,
+                    false,
+                    new Limits(true, false, false, true, 4, 0, 0),
+                    RULES,
+                    8));
             assertThat(p.feed(new Members(ListKind.FAILED, List.of())))
                     .doesNotContainAnyElementsOf(q.feed(new Members(ListKind.FAILED, List.of())).stream()
-                            .filter(a -> a instanceof SetTimer t && t.atUs() != q.now + RULES.askWithinUs()).toList());
+                            .filter(a -> a instanceof SetTimer t && t.atUs() != q.now + RULES.askWithinUs())
+                            .toList());
         }
     }
 
@@ -363,6 +390,7 @@
     class AColdBackendIsNotPushedOver {
         /** One second of a backend at 40% or a little more that takes 50 ms for a request, times the multiple. */
         private static final int MOST = 36;
+
         private int sent;
 
         @Test
@@ -401,7 +429,8 @@
 
         @Test
         void oneOfManyProxiesMayStillSendItWhatItsLikeBear() {
-            var p = new Proxy(new Balancer.Settings(9, 3, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
+            var p = new Proxy(
+                    new Balancer.Settings(9, 3, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
             var backends = new Balancer.Backend[4];
             for (int i = 0; i < 4; i++) {
                 backends[i] = backend("s" + i);
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -18,11 +18,19 @@
     private static final String OK_X = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
 
     @ParameterizedTest
-    @CsvSource({"503 Unavailable,X-Not-Processed: 1,FULL", "504 Late,X-Not-Processed: 1,FULL",
-        "503 Unavailable,X-Not-Processed: 0,ERROR", "504 Late,X-Other: 1,ERROR", "500 Error,X-Not-Processed: 1,ERROR",
-        "404 Unknown,X-Other: 1,ERROR", "200 OK,X-Not-Processed: 1,OK"})
+    @CsvSource({
+        "503 Unavailable,X-Not-Processed: 1,FULL",
+        "504 Late,X-Not-Processed: 1,FULL",
+        "503 Unavailable,X-Not-Processed: 0,ERROR",
+        "504 Late,X-Other: 1,ERROR",
+        "500 Error,X-Not-Processed: 1,ERROR",
+        "404 Unknown,X-Other: 1,ERROR",
+        "200 OK,X-Not-Processed: 1,OK"
+    })
     void tellsOutcomesByTheirAnswers(String status, String header, Outcome outcome) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             backend.always(Peer.answer(status, "x", header));
             client.send(Fixture.get("r1"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(outcome);
@@ -31,10 +39,16 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"''", "HTTP/1.1 200 OK\r\nContent-Le", "'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'",
-        "'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n'"})
+    @CsvSource({
+        "''",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'",
+        "'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n'"
+    })
     void aBreakAfterTheLastByteMayHaveRun(String part) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             try (Wire attempt = backend.accept()) {
                 attempt.read();
@@ -49,7 +63,9 @@
     @ParameterizedTest
     @CsvSource({"false,OK,200", "true,RESET,502"})
     void anAnswerWithoutALengthIsWholeAtItsEndAlone(boolean reset, Outcome outcome, int status) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             try (Wire attempt = backend.accept()) {
                 attempt.read();
@@ -67,7 +83,8 @@
     void aRefusedConnectionNeverRan() throws Exception {
         var backend = new Peer();
         backend.close();
-        try (var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.CONNECT_FAILED);
             assertThat(client.read().status()).isEqualTo(502);
@@ -77,7 +94,9 @@
     /** Something came back, so it may have run; and nothing that follows on that connection is taken for an answer. */
     @Test
     void rubbishIsAnErrorAndEndsTheConnection() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -99,7 +118,9 @@
     /** A backend that resets whatever comes on a connection that has stood idle gets new connections before long. */
     @Test
     void connectionsThatAreResetAfterStandingIdleAreNotUsedAgain() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             Peer.background(() -> {
                 while (true) {
                     Wire connection = backend.accept();
@@ -112,7 +133,7 @@
                 }
             });
             int resets = 0;
-            for (int served = 0; served < 2;) {
+            for (int served = 0; served < 2; ) {
                 settle();
                 client.send(Fixture.get("r" + resets + "-" + served));
                 served = client.read().status() == 200 ? served + 1 : 0;
@@ -125,13 +146,17 @@
     /** What this side gives up is no reset: a backend that hangs now and then keeps its connections in use. */
     @Test
     void aTimeOutTellsNothingOfIdleConnections() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", a.id().startsWith("hangs") ? 30_000 : 0));
-            } else {
-                Fixture.sendTo("s0").handle(event, actions);
-            }
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", a.id().startsWith("hangs") ? 30_000 : 0));
+                            } else {
+                                Fixture.sendTo("s0").handle(event, actions);
+                            }
+                        },
+                        backend);
+                var client = proxy.client()) {
             for (int i = 0; i < 8; i++) {
                 client.send(Fixture.get("r" + i));
                 Wire attempt = backend.accept();
@@ -149,16 +174,26 @@
 
     /** The request has run, and no answer that can be believed will follow: that is told now, not when time is up. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 0x1\r\n\r\nx",
-        "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\nx\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", "HTTP/1.1 101 Switching Protocols\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "HTTP/1.1 200 OK\r\nX-Pad: p\r\n", "\0noise without end"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0x1\r\n\r\nx",
+                "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx",
+                "HTTP/1.1 101 Switching Protocols\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+                "HTTP/1.1 200 OK\r\nX-Pad: p\r\n",
+                "\0noise without end"
+            })
     void aSpoiltAnswerMayHaveRunAndIsToldAtOnce(String answer) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -174,22 +209,31 @@
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\n\r\n", "X-Pad: pppppppp\r\n"})
     void anAnswerWithoutEndIsCutOff(String more) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
             // It may be cut off before all of it is written.
-            Peer.background(() -> attempt.send((more.startsWith("HTTP") ? "" : "HTTP/1.1 200 OK\r\n") + more.repeat(10_000)));
+            Peer.background(
+                    () -> attempt.send((more.startsWith("HTTP") ? "" : "HTTP/1.1 200 OK\r\n") + more.repeat(10_000)));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
         }
     }
 
     /** A good answer is the client's, whatever comes with it; only its connection is of no further use. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxnoise", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx\r\n\0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxnoise",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx\r\n\0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"
+            })
     void whatComesBehindAnAnswerEndsItsConnection(String answer) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -200,10 +244,15 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK_X,
-        "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT ?\r\nContent-Length: 1\r\n\r\nx"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK_X,
+                "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT ?\r\nContent-Length: 1\r\n\r\nx"
+            })
     void aGoodAnswerIsServedAndItsConnectionKept(String answer) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -222,7 +271,9 @@
 
     @Test
     void anAnswerBehindAnAnswerIsNotTakenForTheNext() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -239,7 +290,9 @@
 
     @Test
     void anAnswerTooLongIsAnError() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             backend.always(Peer.ok("x".repeat(70_000)));
             client.send(Fixture.get("r1"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
@@ -249,13 +302,19 @@
     /** While one attempt is out no other may be: the connection of one that is given up ends before the next begins. */
     @Test
     void aTimeOutClosesTheConnectionBeforeTheNextAttempt() throws Exception {
-        try (var slow = new Peer(); var other = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", 50_000));
-            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.TIMEOUT) {
-                actions.accept(new Send(e.id(), "s1", 0));
-            }
-        }, slow, other); var client = proxy.client()) {
+        try (var slow = new Peer();
+                var other = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", 50_000));
+                            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.TIMEOUT) {
+                                actions.accept(new Send(e.id(), "s1", 0));
+                            }
+                        },
+                        slow,
+                        other);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire first = slow.accept();
             first.read();
@@ -269,12 +328,16 @@
 
     @Test
     void keepsConnectionsAndReleasesThem() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().equals("r3")) {
-                actions.accept(new Release("s0"));
-            }
-            Fixture.sendTo("s0").handle(event, actions);
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a && a.id().equals("r3")) {
+                                actions.accept(new Release("s0"));
+                            }
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire first = backend.accept();
             for (String next : List.of("r2", "r3")) {
@@ -293,7 +356,8 @@
     /** A request that crosses the backend's close of an idle connection may have run: this side closes it first. */
     @Test
     void closesIdleConnectionsBeforeTheBackendDoes() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 1_024, 500_000, backend);
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), 1_024, 500_000, backend);
                 var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
@@ -307,7 +371,9 @@
     /** Rule 3 counts a send from its first byte: one that still waits for its connection must not go out any more. */
     @Test
     void aDrainStopsWhatIsStillConnecting() throws Exception {
-        try (var full = new Crowded(); var proxy = new Fixture(Fixture.watching("s1"), Fixture.PATIENT); var client = proxy.client()) {
+        try (var full = new Crowded();
+                var proxy = new Fixture(Fixture.watching("s1"), Fixture.PATIENT);
+                var client = proxy.client()) {
             Wire next = proxy.list(Fixture.entry("s1", full.address(), "ready"));
             client.send(Fixture.get("r1"));
             proxy.next(Arrival.class);
@@ -320,7 +386,9 @@
     /** The id says which backend it is, the address only where: what was kept open to the old place is not used again. */
     @Test
     void followsABackendToItsNewAddress() throws Exception {
-        try (var old = new Peer(); var moved = new Peer(); var proxy = new Fixture(Fixture.watching("s0"), 1_024, 60_000_000, old);
+        try (var old = new Peer();
+                var moved = new Peer();
+                var proxy = new Fixture(Fixture.watching("s0"), 1_024, 60_000_000, old);
                 var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = old.accept();
--- a/src/test/java/beechfall/proxy/ConfigTest.java
+++ b/src/test/java/beechfall/proxy/ConfigTest.java
@@ -19,7 +19,8 @@
         Config config = Config.parse(Fixture.config());
         assertThat(config.settings().seed()).isEqualTo(0x92094eb940cf389aL);
         assertThat(config.settings().limits().listMustBeAsked()).isTrue();
-        assertThat(config.settings().classes()).extracting(Balancer.RequestClass::effect)
+        assertThat(config.settings().classes())
+                .extracting(Balancer.RequestClass::effect)
                 .containsExactly(Balancer.Effect.SAFE, Balancer.Effect.KEYED, Balancer.Effect.UNSAFE);
         assertThat(config.settings().tenants()).containsExactly(new Balancer.Tenant("acme", 100));
         assertThat(config.connIdleUs()).isEqualTo(15_000_000);
@@ -37,16 +38,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "name|''|'name': missing",
-        "listen|'8080'|'listen': '8080' is no address and port",
-        "discovery|'host:80'|'discovery': 'host:80' is no address and port",
-        "seed|'xyz'|'seed': 'xyz' is no hexadecimal number of 64 bits",
-        "limits|''|'limits.sockets': a number of at least 128 is wanted",
-        "settings|'x'|'settings': an object is wanted"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "name|''|'name': missing",
+                "listen|'8080'|'listen': '8080' is no address and port",
+                "discovery|'host:80'|'discovery': 'host:80' is no address and port",
+                "seed|'xyz'|'seed': 'xyz' is no hexadecimal number of 64 bits",
+                "limits|''|'limits.sockets': a number of at least 128 is wanted",
+                "settings|'x'|'settings': an object is wanted"
+            })
     void namesTheFieldThatIsWrong(String field, String value, String message) throws Exception {
         assertThatThrownBy(() -> Config.parse(Fixture.config().put(field, value)))
-                .isInstanceOf(Config.BadConfig.class).hasMessage(message);
+                .isInstanceOf(Config.BadConfig.class)
+                .hasMessage(message);
     }
 
     @Test
@@ -63,8 +68,12 @@
     @Test
     void saysWhereAFileIsNoConfiguration(@TempDir Path folder) throws Exception {
         Path file = folder.resolve("config.json");
-        assertThatThrownBy(() -> Config.read(file)).isInstanceOf(Config.BadConfig.class).hasMessageStartingWith("cannot be read");
+        assertThatThrownBy(() -> Config.read(file))
+                .isInstanceOf(Config.BadConfig.class)
+                .hasMessageStartingWith("cannot be read");
         Files.writeString(file, "{");
-        assertThatThrownBy(() -> Config.read(file)).isInstanceOf(Config.BadConfig.class).hasMessageStartingWith("not JSON");
+        assertThatThrownBy(() -> Config.read(file))
+                .isInstanceOf(Config.BadConfig.class)
+                .hasMessageStartingWith("not JSON");
     }
 }
--- a/src/test/java/beechfall/proxy/CrossingTest.java
+++ b/src/test/java/beechfall/proxy/CrossingTest.java
@@ -40,7 +40,8 @@
     @ValueSource(strings = {"second answer", "half a line", "close", "reset"})
     void somethingComesAsAConnectionIsUsedAgain(String what) throws Exception {
         var goOn = new CountDownLatch(1);
-        try (var backend = new Peer(); var proxy = new Fixture(standingStillAt("r2", goOn, 0), Fixture.PATIENT, backend);
+        try (var backend = new Peer();
+                var proxy = new Fixture(standingStillAt("r2", goOn, 0), Fixture.PATIENT, backend);
                 var client = proxy.client()) {
             client.send(Fixture.patient("r1"));
             Wire attempt = backend.accept();
@@ -75,8 +76,10 @@
     @Test
     void anAnswerComesAsItsTimeOutFires() throws Exception {
         var goOn = new CountDownLatch(1);
-        try (var backend = new Peer(); var proxy = new Fixture(standingStillAt("other", goOn, 100_000), Fixture.PATIENT, backend);
-                var client = proxy.client(); var other = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(standingStillAt("other", goOn, 100_000), Fixture.PATIENT, backend);
+                var client = proxy.client();
+                var other = proxy.client()) {
             client.send(Fixture.patient("r1"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -107,7 +110,8 @@
     @ValueSource(booleans = {false, true})
     void aClientLeavesAsItsAnswerComes(boolean reset) throws Exception {
         var goOn = new CountDownLatch(1);
-        try (var backend = new Peer(); var proxy = new Fixture(standingStillAt("other", goOn, 0), Fixture.PATIENT, backend);
+        try (var backend = new Peer();
+                var proxy = new Fixture(standingStillAt("other", goOn, 0), Fixture.PATIENT, backend);
                 var other = proxy.client()) {
             Wire client = proxy.client().send(Fixture.patient("r1"));
             Wire attempt = backend.accept();
@@ -137,13 +141,19 @@
     void anAnswerComesAsItsBackendBeginsToDrain() throws Exception {
         var goOn = new CountDownLatch(1);
         Fixture.Module watching = Fixture.watching("s0");
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().equals("other")) {
-                Peer.await(goOn);
-            } else {
-                watching.handle(event, actions);
-            }
-        }, Fixture.PATIENT, backend); var client = proxy.client(); var other = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a && a.id().equals("other")) {
+                                Peer.await(goOn);
+                            } else {
+                                watching.handle(event, actions);
+                            }
+                        },
+                        Fixture.PATIENT,
+                        backend);
+                var client = proxy.client();
+                var other = proxy.client()) {
             Wire watch = proxy.discovery.accept();
             watch.read();
             client.send(Fixture.patient("r1"));
@@ -167,14 +177,17 @@
     @Test
     void aChangeIsToldWhileRequestsWait() throws Exception {
         var clients = new ArrayList<Wire>();
-        try (var backend = new Peer(); var other = new Peer(); var proxy = Fixture.inService(Fixture.PATIENT, backend)) {
+        try (var backend = new Peer();
+                var other = new Peer();
+                var proxy = Fixture.inService(Fixture.PATIENT, backend)) {
             while (clients.size() < proxy.sends.size() + 2) {
                 clients.add(proxy.client().send(Fixture.patient("r" + clients.size())));
                 proxy.next(Arrival.class);
                 proxy.settle();
             }
             int sent = proxy.sends.size();
-            proxy.list(Fixture.entry("s0", backend.address(), "draining"), Fixture.entry("s1", other.address(), "ready"));
+            proxy.list(
+                    Fixture.entry("s0", backend.address(), "draining"), Fixture.entry("s1", other.address(), "ready"));
             other.always(Peer.ok("x"));
             while (proxy.next(Members.class).kind() != ListKind.DELTA) {
                 // what it had in its last life
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -39,7 +39,8 @@
     /** Ready means that it can serve: not on the list of its last life alone, and not without a backend. */
     @Test
     void isReadyOnceDiscoveryHasSpoken() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(watcher(), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(watcher(), backend)) {
             Members known = proxy.next(Members.class);
             assertThat(known.kind()).isEqualTo(ListKind.CACHED);
             assertThat(known.backends()).containsExactly(new Backend("s0", State.READY, "m", "a", 1, 7_000, 1));
@@ -93,10 +94,17 @@
 
     /** A failed call is told to the module, which decides when to ask again: nothing asks on its own. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
-        "", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnot JSON", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "rubbish\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
+                "",
+                "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnot JSON",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+                "rubbish\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}"
+            })
     void tellsOfAFailedCall(String answer) throws Exception {
         try (var proxy = new Fixture(watcher())) {
             proxy.next(Members.class);
@@ -155,7 +163,8 @@
     /** An agent of the proxy's own machine answers at once, and costs nothing: neither its silence nor a wait is long. */
     @Test
     void anAgentIsAskedOftenAndAnewWhenItIsSilent() throws Exception {
-        try (var proxy = new Fixture(watcher(ListKind.CACHED, 2_500),
+        try (var proxy = new Fixture(
+                watcher(ListKind.CACHED, 2_500),
                 c -> c.replace("on_request", "pushed").replace("\"balancers\":2", "\"balancers\":100"))) {
             proxy.discovery.accept().read();
             Wire again = proxy.discovery.accept();
@@ -164,7 +173,8 @@
             assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
             Event next = Peer.next(proxy.events);
             assertThat(next).isEqualTo(new Members(ListKind.DELTA, List.of()));
-            assertThat(proxy.discovery.accept().read().first()).matches("GET /v1/endpoints\\?from=42&hold_ms=1[1-5]\\d{2} HTTP/1.1");
+            assertThat(proxy.discovery.accept().read().first())
+                    .matches("GET /v1/endpoints\\?from=42&hold_ms=1[1-5]\\d{2} HTTP/1.1");
         }
     }
 
@@ -175,7 +185,8 @@
         try (var free = new Peer()) {
             port = free.port();
         }
-        try (var discovery = new Peer(); var backend = new Peer()) {
+        try (var discovery = new Peer();
+                var backend = new Peer()) {
             Peer.background(() -> {
                 Wire call = discovery.accept();
                 call.read();
@@ -185,10 +196,15 @@
                 }
                 call.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s0", backend.address(), "draining"))));
             });
-            try (var proxy = new Fixture((event, actions) -> { }, c -> c.replace("on_request", "pushed")
-                    .replace("127.0.0.1:0", "127.0.0.1:" + port).replaceFirst("discovery\":\"[^\"]+", "discovery\":\""
-                    + discovery.address()), backend)) {
-                assertThat(proxy.events).extracting(e -> ((Members) e).kind()).containsExactly(ListKind.CACHED, ListKind.DELTA);
+            try (var proxy = new Fixture(
+                    (event, actions) -> {},
+                    c -> c.replace("on_request", "pushed")
+                            .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                            .replaceFirst("discovery\":\"[^\"]+", "discovery\":\"" + discovery.address()),
+                    backend)) {
+                assertThat(proxy.events)
+                        .extracting(e -> ((Members) e).kind())
+                        .containsExactly(ListKind.CACHED, ListKind.DELTA);
             }
         }
     }
@@ -218,10 +234,20 @@
             proxy.next(Members.class);
             Wire call = proxy.discovery.accept();
             call.read();
-            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("", "127.0.0.1:1", "ready"), "7", "null", "{}",
-                    Fixture.entry("s1", "localhost:1", "ready"), Fixture.entry("s2", "127.0.0.1:99999", "ready"),
-                    Fixture.entry("s3", "127.0.0.1:1", "asleep"), Fixture.entry("s4", "127.0.0.1:1", "ready"))));
-            assertThat(proxy.next(Members.class).backends()).extracting(Backend::id).containsExactly("s4");
+            call.send(Peer.ok(Fixture.list(
+                    42,
+                    true,
+                    Fixture.entry("", "127.0.0.1:1", "ready"),
+                    "7",
+                    "null",
+                    "{}",
+                    Fixture.entry("s1", "localhost:1", "ready"),
+                    Fixture.entry("s2", "127.0.0.1:99999", "ready"),
+                    Fixture.entry("s3", "127.0.0.1:1", "asleep"),
+                    Fixture.entry("s4", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).backends())
+                    .extracting(Backend::id)
+                    .containsExactly("s4");
         }
     }
 
@@ -243,10 +269,15 @@
     /** A new configuration: the watch moves at once, asks for the whole list, and the known backends serve meanwhile. */
     @Test
     void movesToTheDiscoveryOfANewConfiguration() throws Exception {
-        try (var backend = new Peer(); var moved = new Peer(); var proxy = new Fixture((event, actions) -> {
-            watcher().handle(event, actions);
-            Fixture.sendTo("s0").handle(event, actions);
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var moved = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            watcher().handle(event, actions);
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        backend);
+                var client = proxy.client()) {
             backend.always(Peer.ok("x"));
             Wire old = proxy.discovery.accept();
             old.read();
@@ -263,7 +294,8 @@
 
     @Test
     void aBadConfigurationLeavesTheWatchAlone() throws Exception {
-        try (var moved = new Peer(); var proxy = new Fixture(watcher())) {
+        try (var moved = new Peer();
+                var proxy = new Fixture(watcher())) {
             Wire call = proxy.discovery.accept();
             call.read();
             proxy.reload("{\"discovery\":");
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -4,13 +4,13 @@
 import beechfall.Balancer.Action;
 import beechfall.Balancer.Event;
 import beechfall.Policy;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.Closeable;
 import java.io.ByteArrayInputStream;
-import java.nio.charset.StandardCharsets;
-import com.fasterxml.jackson.databind.JsonNode;
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
@@ -39,7 +39,6 @@
               "projects":[{"name":"acme","allowance_per_s":100}]}}
             """;
 
-
     final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     final BlockingQueue<Balancer.Send> sends = new LinkedBlockingQueue<>();
     final Peer discovery = new Peer();
@@ -47,8 +46,9 @@
     final InetSocketAddress address;
 
     /** Settings under which nothing that a test waits for runs out of time: only what it does itself brings an end. */
-    static final UnaryOperator<String> PATIENT = config -> config.replaceAll("(aim|deadline|window)_us\":\\d+", "$1_us\":60000000")
-            .replace("connect_timeout_us\":200000", "connect_timeout_us\":60000000");
+    static final UnaryOperator<String> PATIENT =
+            config -> config.replaceAll("(aim|deadline|window)_us\":\\d+", "$1_us\":60000000")
+                    .replace("connect_timeout_us\":200000", "connect_timeout_us\":60000000");
 
     /** Does as the module would: gets the events, and says what is to be done. */
     interface Module {
@@ -77,8 +77,13 @@
         return new Fixture(Policy::new, 1_024, 15_000_000, edit, backends);
     }
 
-    private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs,
-            UnaryOperator<String> edit, Peer... backends) throws Exception {
+    private Fixture(
+            Function<Balancer.Settings, Balancer> factory,
+            int sockets,
+            long idleUs,
+            UnaryOperator<String> edit,
+            Peer... backends)
+            throws Exception {
         var servers = new StringBuilder();
         for (int i = 0; i < backends.length; i++) {
             servers.append(i == 0 ? "" : ",").append(entry("s" + i, backends[i].address(), "ready"));
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -17,13 +17,15 @@
 
 /** The clients' side on loopback sockets. */
 class FrontendTest {
-    private static final Fixture.Module SILENT = (event, actions) -> { };
+    private static final Fixture.Module SILENT = (event, actions) -> {};
 
     @Test
     void passesRequestAndAnswerOnUnchanged() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
-            BlockingQueue<Wire.Message> seen = backend.always(Peer.answer("200 OK", "an\r\n\r\nswer", "Content-Type: a/b",
-                    "Connection: X-Hop", "X-Hop: 1"));
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            BlockingQueue<Wire.Message> seen = backend.always(
+                    Peer.answer("200 OK", "an\r\n\r\nswer", "Content-Type: a/b", "Connection: X-Hop", "X-Hop: 1"));
             Wire.Message answer = client.send(Fixture.post("r1", "bo\r\n\0dy")).read();
             Wire.Message request = Peer.next(seen);
             assertThat(request.first()).isEqualTo("POST /api?k=u%201&x HTTP/1.1");
@@ -57,7 +59,8 @@
                 actions.accept(new Refuse(a.id(), 0));
             }
         };
-        try (var proxy = new Fixture(module); var first = proxy.client()) {
+        try (var proxy = new Fixture(module);
+                var first = proxy.client()) {
             first.send(Fixture.get("first"));
             proxy.next(Arrival.class);
             for (int i = 0; i < 5; i++) {
@@ -76,25 +79,31 @@
 
     /** Whatever is wrong with a request, it costs neither a backend nor the module anything. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "X-Priority-Class: read|X-Priority-Class: write|400",
-        "X-Priority-Class: read|X-Other: read|400",
-        "X-Priority-Class: read|X-Priority-Class: pay|405",
-        "X-Request-ID: r1|X-Other: r1|400",
-        "X-Tenant-Id: acme|X-Tenant-Id: nobody|400",
-        "X-Tenant-Id: acme|X-Other: acme|400",
-        "X-Timeout: 1900m|X-Timeout: soon|400",
-        "X-Timeout: 1900m|X-Timeout: 0m|400",
-        "X-Timeout: 1900m|X-Timeout: -5m|400",
-        "X-Timeout: 1900m|X-Timeout: 123456789m|400",
-        "X-Timeout: 1900m|X-Other: 1900m|400",
-        "GET /api?k=u1|GET /apis|404",
-        "GET /api?k=u1|GET /api?k=%zz|400",
-        "GET /api?k=u1|PUT /api|405",
-        "GET /api?k=u1 HTTP/1.1|NONSENSE|400"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "X-Priority-Class: read|X-Priority-Class: write|400",
+                "X-Priority-Class: read|X-Other: read|400",
+                "X-Priority-Class: read|X-Priority-Class: pay|405",
+                "X-Request-ID: r1|X-Other: r1|400",
+                "X-Tenant-Id: acme|X-Tenant-Id: nobody|400",
+                "X-Tenant-Id: acme|X-Other: acme|400",
+                "X-Timeout: 1900m|X-Timeout: soon|400",
+                "X-Timeout: 1900m|X-Timeout: 0m|400",
+                "X-Timeout: 1900m|X-Timeout: -5m|400",
+                "X-Timeout: 1900m|X-Timeout: 123456789m|400",
+                "X-Timeout: 1900m|X-Other: 1900m|400",
+                "GET /api?k=u1|GET /apis|404",
+                "GET /api?k=u1|GET /api?k=%zz|400",
+                "GET /api?k=u1|PUT /api|405",
+                "GET /api?k=u1 HTTP/1.1|NONSENSE|400"
+            })
     void turnsBadRequestsAway(String good, String bad, int status) throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
-            assertThat(client.send(Fixture.get("r1").replace(good, bad)).read().status()).isEqualTo(status);
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            assertThat(client.send(Fixture.get("r1").replace(good, bad)).read().status())
+                    .isEqualTo(status);
             // Kept, the connection would bring the same again as fast as it is answered.
             assertThat(client.ended()).isTrue();
             backend.always(Peer.ok("x"));
@@ -105,15 +114,32 @@
 
     /** Two readers of such a request may disagree on where it ends, and what one takes for its body may be another. */
     @ParameterizedTest
-    @ValueSource(strings = {"Content-Length: 40\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 3",
-        "Content-Length: 3\r\nContent-Length: 4", "Content-Length: 3\r\nContent-Length: 3", "Content-Length: -3",
-        "Content-Length: three", "Content-Length: +3", "Content-Length: 3, 3", "Content-Length: 99999999999999999999",
-        "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: identity",
-        "Transfer-Encoding : chunked", "a line with no colon", "nocolon"})
+    @ValueSource(
+            strings = {
+                "Content-Length: 40\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: chunked\r\nContent-Length: 3",
+                "Content-Length: 3\r\nContent-Length: 4",
+                "Content-Length: 3\r\nContent-Length: 3",
+                "Content-Length: -3",
+                "Content-Length: three",
+                "Content-Length: +3",
+                "Content-Length: 3, 3",
+                "Content-Length: 99999999999999999999",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding : chunked",
+                "a line with no colon",
+                "nocolon"
+            })
     void aRequestWhoseEndIsInDoubtIsNotPassedOn(String lengths) throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             String head = Fixture.post("r1", "").replace("Content-Length: 0", lengths);
-            assertThat(client.send(head + "0\r\n\r\n" + Fixture.get("hidden")).read().status()).isBetween(400, 499);
+            assertThat(client.send(head + "0\r\n\r\n" + Fixture.get("hidden"))
+                            .read()
+                            .status())
+                    .isBetween(400, 499);
             assertThat(client.ended()).isTrue();
             assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
         }
@@ -121,8 +147,11 @@
 
     @Test
     void chunksAreNoneOfHttp10() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            client.send(Fixture.post("r1", "").replace("HTTP/1.1", "HTTP/1.0").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            client.send(Fixture.post("r1", "")
+                            .replace("HTTP/1.1", "HTTP/1.0")
+                            .replace("Content-Length: 0", "Transfer-Encoding: chunked")
                     + "0\r\n\r\n");
             assertThat(client.read().status()).isEqualTo(400);
             assertThat(client.ended()).isTrue();
@@ -133,7 +162,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "GET /api HT", "POST /api HTTP/1.1\r\nContent-Length: 900\r\n\r\nhalf"})
     void aRequestThatDoesNotComeIsNotWaitedFor(String part) throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             long connected = System.nanoTime();
             client.send(part);
             if (!part.isEmpty()) {
@@ -160,8 +190,10 @@
 
     @Test
     void anIdleConnectionIsClosed() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            assertThat(client.send("GET /ready HTTP/1.1\r\n\r\n").read().status()).isEqualTo(503);
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            assertThat(client.send("GET /ready HTTP/1.1\r\n\r\n").read().status())
+                    .isEqualTo(503);
             assertThat(client.ended()).isTrue();
         }
     }
@@ -169,7 +201,9 @@
     /** Of many requests at once a few are served; the rest costs no memory and is told that it has not been begun. */
     @Test
     void readsOnlyAFewRequestsAhead() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             var all = new StringBuilder();
             for (int i = 0; i < 400; i++) {
                 all.append(Fixture.get("r" + i));
@@ -190,7 +224,8 @@
     /** A client that goes on sending after its last answer is cut off: it costs neither memory nor the CPU of others. */
     @Test
     void aBodyWithoutEndIsCutOff() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             client.send(Fixture.post("r1", "").replace("Content-Length: 0", "Content-Length: 60000000"));
             assertThat(client.read().status()).isEqualTo(413);
             String more = "x".repeat(65_536);
@@ -210,10 +245,14 @@
 
     @Test
     void aPathThatIsNoSingleLineIsNotPassedOn() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend)) {
             for (String bad : List.of("/api?k=a\rb", "/api?k=a\0b", "/api?k=a\u007fb")) {
                 try (var client = proxy.client()) {
-                    assertThat(client.send(Fixture.get("r1").replace("/api?k=u1", bad)).read().status()).isEqualTo(400);
+                    assertThat(client.send(Fixture.get("r1").replace("/api?k=u1", bad))
+                                    .read()
+                                    .status())
+                            .isEqualTo(400);
                 }
             }
             assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
@@ -223,7 +262,9 @@
     @Test
     void passesTheLongestBodies() throws Exception {
         String body = "0123456789abcdef".repeat(4_096);
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             BlockingQueue<Wire.Message> seen = backend.always(Peer.ok(body));
             assertThat(client.send(Fixture.post("r1", body)).read().body()).isEqualTo(body);
             assertThat(Peer.next(seen).body()).isEqualTo(body);
@@ -232,15 +273,20 @@
 
     @Test
     void aKeyedRequestNeedsItsKey() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            assertThat(client.send(Fixture.post("r1", "x").replace("Idempotency-Key", "X-Other")).read().status()).isEqualTo(400);
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            assertThat(client.send(Fixture.post("r1", "x").replace("Idempotency-Key", "X-Other"))
+                            .read()
+                            .status())
+                    .isEqualTo(400);
         }
     }
 
     /** The client must read why it was turned away, even while it is still sending: no reset may overtake the answer. */
     @Test
     void aBodyTooLongIsToldSo() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             client.send(Fixture.post("r1", "x".repeat(70_000)));
             assertThat(client.read().status()).isEqualTo(413);
             assertThat(client.ended()).isTrue();
@@ -252,10 +298,12 @@
     void patienceRunsOnWhileTheProxyIsHeldUp() throws Exception {
         var goOn = new CountDownLatch(1);
         try (var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().equals("r1")) {
-                Peer.await(goOn);
-            }
-        }); var one = proxy.client(); var two = proxy.client()) {
+                    if (event instanceof Arrival a && a.id().equals("r1")) {
+                        Peer.await(goOn);
+                    }
+                });
+                var one = proxy.client();
+                var two = proxy.client()) {
             two.send("GET /ready HTTP/1.1\r\n\r\n").read();
             one.send(Fixture.get("r1"));
             proxy.next(Arrival.class);
@@ -272,7 +320,9 @@
     /** What comes behind a request that is being served must neither overtake its answer nor cost it. */
     @Test
     void rubbishBehindARequestIsAnsweredAfterIt() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1") + "RUBBISH\r\n\r\n" + Fixture.get("r2"));
             Wire attempt = backend.accept();
             attempt.read();
@@ -297,10 +347,11 @@
     @Test
     void aRefusalTellsWhenToComeBack() throws Exception {
         try (var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Refuse(a.id(), a.id().equals("r1") ? 250_000 : 0));
-            }
-        }); var client = proxy.client()) {
+                    if (event instanceof Arrival a) {
+                        actions.accept(new Refuse(a.id(), a.id().equals("r1") ? 250_000 : 0));
+                    }
+                });
+                var client = proxy.client()) {
             Wire.Message answer = client.send(Fixture.get("r1")).read();
             assertThat(answer.status()).isEqualTo(503);
             assertThat(answer.header("Retry-After")).isEqualTo("0.250");
@@ -314,11 +365,12 @@
     @Test
     void answersInOrderAndOnce() throws Exception {
         try (var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Refuse(a.id(), 0));
-                actions.accept(new Fail(a.id()));
-            }
-        }); var client = proxy.client()) {
+                    if (event instanceof Arrival a) {
+                        actions.accept(new Refuse(a.id(), 0));
+                        actions.accept(new Fail(a.id()));
+                    }
+                });
+                var client = proxy.client()) {
             client.send(Fixture.get("r1") + "GET /ready HTTP/1.1\r\n\r\n" + Fixture.get("r3"));
             assertThat(client.read().body()).startsWith("not now");
             assertThat(client.read().body()).startsWith("not ready");
@@ -328,7 +380,9 @@
 
     @Test
     void anIdThatIsBeingServedIsNotTakenTwice() throws Exception {
-        try (var proxy = new Fixture(SILENT); var one = proxy.client(); var two = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var one = proxy.client();
+                var two = proxy.client()) {
             one.send(Fixture.get("r1"));
             proxy.next(Arrival.class);
             assertThat(two.send(Fixture.get("r1")).read().status()).isEqualTo(409);
@@ -337,8 +391,10 @@
 
     @Test
     void closesWhereTheClientAsksForIt() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
-            Wire.Message answer = client.send("GET /other HTTP/1.1\r\nConnection: close\r\n\r\n").read();
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            Wire.Message answer = client.send("GET /other HTTP/1.1\r\nConnection: close\r\n\r\n")
+                    .read();
             assertThat(answer.status()).isEqualTo(404);
             assertThat(answer.header("Connection")).isEqualTo("close");
             assertThat(client.ended()).isTrue();
--- a/src/test/java/beechfall/proxy/JsonTest.java
+++ b/src/test/java/beechfall/proxy/JsonTest.java
@@ -12,12 +12,25 @@
 /** The mapper tells what a document means; the reader differs from it in what it costs alone. */
 class JsonTest {
     @ParameterizedTest
-    @ValueSource(strings = {"{\"a\":{\"b\":[1,-2.5,\"x\\u00e9\",true,false,null,{},[]]},\"a2\":9007199254740993}", "[]", "\"s\"",
-        "7", "1e3", "123456789012345678901234567890", "null", "", "  ", "{\"a\":1,\"a\":2}"})
+    @ValueSource(
+            strings = {
+                "{\"a\":{\"b\":[1,-2.5,\"x\\u00e9\",true,false,null,{},[]]},\"a2\":9007199254740993}",
+                "[]",
+                "\"s\"",
+                "7",
+                "1e3",
+                "123456789012345678901234567890",
+                "null",
+                "",
+                "  ",
+                "{\"a\":1,\"a\":2}"
+            })
     void readsWhatTheMapperReads(String text) throws Exception {
         // As text: an int and a long of the same value are different nodes.
-        assertThat(Fixture.json(text).toString()).isEqualTo(new ObjectMapper().readTree(text).toString());
-        assertThat(Fixture.json(text).getNodeType()).isEqualTo(new ObjectMapper().readTree(text).getNodeType());
+        assertThat(Fixture.json(text).toString())
+                .isEqualTo(new ObjectMapper().readTree(text).toString());
+        assertThat(Fixture.json(text).getNodeType())
+                .isEqualTo(new ObjectMapper().readTree(text).getNodeType());
     }
 
     @ParameterizedTest
--- a/src/test/java/beechfall/proxy/LeavingTest.java
+++ b/src/test/java/beechfall/proxy/LeavingTest.java
@@ -15,7 +15,7 @@
 
 /** Clients that leave while their requests wait, and those that only end their sending. */
 class LeavingTest {
-    private static final Fixture.Module SILENT = (event, actions) -> { };
+    private static final Fixture.Module SILENT = (event, actions) -> {};
 
     private static void leave(Wire client, boolean reset) throws IOException {
         if (reset) {
@@ -29,7 +29,8 @@
     @ValueSource(booleans = {false, true})
     void aRequestWhoseClientLeavesWhileItWaitsIsNotSentOn(boolean reset) throws Exception {
         var clients = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = Fixture.inService(Fixture.PATIENT, backend)) {
+        try (var backend = new Peer();
+                var proxy = Fixture.inService(Fixture.PATIENT, backend)) {
             var attempts = new ArrayList<Wire>();
             for (int i = 0; clients.size() < proxy.sends.size() + 2; i++) {
                 clients.add(proxy.client().send(Fixture.patient("r" + i)));
@@ -58,7 +59,10 @@
                     attempts.add(backend.accept());
                 }
             }
-            assertThat(served).hasSize(clients.size() - 1).doesNotContain("r" + waiting).doesNotHaveDuplicates();
+            assertThat(served)
+                    .hasSize(clients.size() - 1)
+                    .doesNotContain("r" + waiting)
+                    .doesNotHaveDuplicates();
             // Nothing is kept of it: not its place, nor its connection, nor a timer that would answer it.
             assertThat(proxy.held()).isZero();
             Peer.until(() -> proxy.connected() == clients.size() - 1);
@@ -73,8 +77,11 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void whatStillConnectsIsNotSentForAClientThatHasLeft(boolean reset) throws Exception {
-        try (var full = new Crowded(); var proxy = new Fixture(Fixture.watching("s1"), Fixture.PATIENT.andThen(
-                c -> c.replace("\"cancel\":true", "\"cancel\":false"))::apply); var client = proxy.client()) {
+        try (var full = new Crowded();
+                var proxy = new Fixture(
+                        Fixture.watching("s1"),
+                        Fixture.PATIENT.andThen(c -> c.replace("\"cancel\":true", "\"cancel\":false"))::apply);
+                var client = proxy.client()) {
             proxy.list(Fixture.entry("s1", full.address(), "ready"));
             client.send(Fixture.patient("r1"));
             proxy.next(Arrival.class);
@@ -91,8 +98,9 @@
     /** An attempt that is out goes on where it may not be called off; its answer is nobody's. */
     @Test
     void whatIsOutGoesOnWhereItMayNotBeCalledOff() throws Exception {
-        try (var backend = new Peer(); var proxy = Fixture.inService(
-                c -> Fixture.PATIENT.apply(c).replace("\"cancel\":true", "\"cancel\":false"), backend)) {
+        try (var backend = new Peer();
+                var proxy = Fixture.inService(
+                        c -> Fixture.PATIENT.apply(c).replace("\"cancel\":true", "\"cancel\":false"), backend)) {
             Wire attempt;
             try (var client = proxy.client()) {
                 client.send(Fixture.patient("r1"));
@@ -113,7 +121,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void aClientThatFloodsAndLeavesIsNoticed(boolean reset) throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             client.send(Fixture.patient("r1") + "RUBBISH\r\n\r\n");
             proxy.next(Arrival.class);
             String more = "x".repeat(65_536);
@@ -133,7 +142,9 @@
     /** It sends nothing more, and may have gone; but it may still read, and is owed one whole answer. */
     @Test
     void aClientThatEndsItsSendingIsAnswered() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.patient("r1"));
             backend.accept().read();
             client.socket.shutdownOutput();
@@ -146,7 +157,8 @@
     /** Its requests are answered in their order, also those sent ahead; what has not begun has run nowhere. */
     @Test
     void aClientThatSendsAheadAndEndsItsSendingIsAnswered() throws Exception {
-        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
             client.send(Fixture.patient("r1") + Fixture.patient("r2"));
             proxy.next(Arrival.class);
             client.socket.shutdownOutput();
--- a/src/test/java/beechfall/proxy/ProxyTest.java
+++ b/src/test/java/beechfall/proxy/ProxyTest.java
@@ -17,9 +17,11 @@
     /** Rule 1: a request that the module forgets is answered all the same, before its client gives up. */
     @Test
     void answersInTimeWhateverTheModuleDoes() throws Exception {
-        try (var proxy = new Fixture((event, actions) -> { }); var client = proxy.client()) {
+        try (var proxy = new Fixture((event, actions) -> {});
+                var client = proxy.client()) {
             long sent = System.nanoTime();
-            Wire.Message answer = client.send(Fixture.get("r1").replace("1900m", "300000u")).read();
+            Wire.Message answer =
+                    client.send(Fixture.get("r1").replace("1900m", "300000u")).read();
             assertThat(answer.status()).isEqualTo(502);
             assertThat(System.nanoTime() - sent).isGreaterThan(200_000_000L);
             assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r1");
@@ -28,12 +30,16 @@
 
     @Test
     void anErrorInTheModuleCostsOneRequest() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().equals("bad")) {
-                throw new IllegalStateException("as the test wants it");
-            }
-            Fixture.sendTo("s0").handle(event, actions);
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a && a.id().equals("bad")) {
+                                throw new IllegalStateException("as the test wants it");
+                            }
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        backend);
+                var client = proxy.client()) {
             backend.always(Peer.ok("x"));
             assertThat(client.send(Fixture.get("bad")).read().status()).isEqualTo(502);
             assertThat(client.send(Fixture.get("good")).read().status()).isEqualTo(200);
@@ -43,13 +49,17 @@
     /** Rule 2: no attempt goes out beside another, and none once the request is over or has had its tries. */
     @Test
     void sendsNoSecondCopy() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a) {
-                actions.accept(new Send(a.id(), "s0", 0));
-                actions.accept(new Send(a.id(), "s0", 0));
-                actions.accept(new Send(a.id(), "unknown", 0));
-            }
-        }, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "s0", 0));
+                                actions.accept(new Send(a.id(), "s0", 0));
+                                actions.accept(new Send(a.id(), "unknown", 0));
+                            }
+                        },
+                        backend);
+                var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire first = backend.accept();
             first.read();
@@ -67,12 +77,15 @@
 
     @Test
     void cancelsWhenTheModuleSaysSo() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof ClientGone g) {
-                actions.accept(new Cancel(g.id(), 0));
-            }
-            Fixture.sendTo("s0").handle(event, actions);
-        }, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof ClientGone g) {
+                                actions.accept(new Cancel(g.id(), 0));
+                            }
+                            Fixture.sendTo("s0").handle(event, actions);
+                        },
+                        backend)) {
             Wire attempt;
             try (var client = proxy.client()) {
                 client.send(Fixture.get("r1"));
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -4,9 +4,9 @@
 
 import beechfall.Balancer.Arrival;
 import beechfall.Balancer.AttemptEnded;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -27,12 +27,15 @@
     void servesWithTheModule() throws Exception {
         var dead = new Peer();
         dead.close();
-        try (var backend = new Peer(); var proxy = Fixture.inService(dead, backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = Fixture.inService(dead, backend);
+                var client = proxy.client()) {
             backend.always(Peer.ok("served"));
             Wire call = proxy.discovery.accept();
             assertThat(call.read().first()).contains("from=41&hold_ms=0");
             for (int i = 0; i < 10; i++) {
-                assertThat(client.send(Fixture.post("r" + i, "pay")).read().body()).isEqualTo("served");
+                assertThat(client.send(Fixture.post("r" + i, "pay")).read().body())
+                        .isEqualTo("served");
             }
             call.send(Peer.ok(Fixture.list(42, true)));
             proxy.discovery.accept().read();
@@ -45,8 +48,11 @@
     /** Rule 1 at a restart: what is taken is answered, new clients are served while the front still sends them. */
     @Test
     void answersAllThatItHasTakenBeforeItEnds() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend);
-                var busy = proxy.client(); var idle = proxy.client(); var used = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var busy = proxy.client();
+                var idle = proxy.client();
+                var used = proxy.client()) {
             busy.send(Fixture.get("r1"));
             Wire slow = backend.accept();
             slow.read();
@@ -83,7 +89,9 @@
     /** The end comes for whoever is left, too: nothing that was taken goes without an answer. */
     @Test
     void failsWhatIsStillOpenWhenItHasToEnd() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.patient("r1"));
             backend.accept().read();
             CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
@@ -95,7 +103,9 @@
     /** What a client has sent ahead begins only when all else has been failed: it is owed an answer as well. */
     @Test
     void answersWhatBeginsWhenItHasToEnd() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
             client.send(Fixture.patient("r1") + Fixture.patient("r2"));
             backend.accept().read();
             CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
@@ -114,11 +124,17 @@
         // More than the kernel holds for both sides.
         int answers = 150;
         var clients = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (!(event instanceof Arrival a) || !a.id().startsWith("held")) {
-                Fixture.sendTo("s0").handle(event, actions);
-            }
-        }, 128, 15_000_000, backend); var slow = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (!(event instanceof Arrival a) || !a.id().startsWith("held")) {
+                                Fixture.sendTo("s0").handle(event, actions);
+                            }
+                        },
+                        128,
+                        15_000_000,
+                        backend);
+                var slow = proxy.client()) {
             backend.always(Peer.ok(body));
             for (int i = 0; i < answers; i++) {
                 slow.send(Fixture.get("r" + i));
@@ -158,7 +174,9 @@
         String body = "x".repeat(65_536);
         // More than the kernel holds for both sides.
         int answers = 150;
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var slow = proxy.client()) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var slow = proxy.client()) {
             backend.always(Peer.ok(body));
             for (int i = 1; i < answers; i++) {
                 slow.send(Fixture.get("r" + i));
@@ -190,7 +208,8 @@
     @Test
     void givesUpConnectionsThatHoldNoRequest() throws Exception {
         var crowd = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 128, 15_000_000, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), 128, 15_000_000, backend)) {
             backend.always(Peer.ok("x"));
             Wire idle = proxy.client();
             crowd.add(idle);
@@ -213,7 +232,7 @@
     @Test
     void answersEndTheirConnectionsInACrowd() throws Exception {
         var crowd = new ArrayList<Wire>();
-        try (var proxy = new Fixture((event, actions) -> { }, 128, 15_000_000)) {
+        try (var proxy = new Fixture((event, actions) -> {}, 128, 15_000_000)) {
             for (int i = 0; i < 40; i++) {
                 crowd.add(proxy.client().send(Fixture.get("r" + i)));
                 proxy.next(Arrival.class);
@@ -232,11 +251,16 @@
     @Test
     void acceptsAgainOnceThereIsRoom() throws Exception {
         var crowd = new ArrayList<Wire>();
-        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
-            if (event instanceof Arrival a && a.id().startsWith("last")) {
-                Fixture.sendTo("s0").handle(event, actions);
-            }
-        }, 128, 15_000_000, backend)) {
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a && a.id().startsWith("last")) {
+                                Fixture.sendTo("s0").handle(event, actions);
+                            }
+                        },
+                        128,
+                        15_000_000,
+                        backend)) {
             backend.always(Peer.ok("x"));
             for (int i = 0; i < 100; i++) {
                 crowd.add(proxy.client().send(Fixture.get("r" + i)));
@@ -274,12 +298,16 @@
     /** The program as it runs in service: without a handler SIGHUP would end it. */
     @Test
     void readsItsFileAgainOnSighup(@TempDir Path folder) throws Exception {
-        try (var first = new Peer(); var second = new Peer()) {
+        try (var first = new Peer();
+                var second = new Peer()) {
             Process process = serve(folder, Fixture.config(first.address()));
             try {
                 first.accept().read();
                 Files.writeString(folder.resolve(CONFIG), Fixture.config(second.address()));
-                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).inheritIO().start().waitFor();
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .inheritIO()
+                        .start()
+                        .waitFor();
                 assertThat(second.accept().read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
                 process.destroy();
                 assertThat(process.waitFor()).isZero();
@@ -291,8 +319,13 @@
 
     private static Process serve(Path folder, String config) throws IOException {
         Path file = Files.writeString(folder.resolve(CONFIG), config);
-        var command = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve");
+        var command = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "beechfall.Main",
+                "serve");
         command.environment().put("PROXY_CONFIG", file.toString());
         return command.inheritIO().start();
     }
--- a/src/test/java/beechfall/proxy/WarmupTest.java
+++ b/src/test/java/beechfall/proxy/WarmupTest.java
@@ -35,7 +35,8 @@
         long waited = 0;
         while (!run.isDone()) {
             for (ThreadInfo thread : threads.getThreadInfo(threads.getAllThreadIds())) {
-                if (thread != null && thread.getThreadName().startsWith("multiThreadIoEventLoop")
+                if (thread != null
+                        && thread.getThreadName().startsWith("multiThreadIoEventLoop")
                         && !before.contains(thread.getThreadId())) {
                     waited = Math.max(waited, thread.getWaitedCount());
                 }
--- a/src/test/java/beechfall/proxy/Wire.java
+++ b/src/test/java/beechfall/proxy/Wire.java
@@ -110,12 +110,15 @@
 
     record Message(String first, String headers, String body) {
         int status() {
-            return Integer.parseInt(first.split(" ")[1]);
+            return Integer.parseInt(first.split(" ", -1)[1]);
         }
 
         String header(String name) {
-            return Arrays.stream(headers.split("\n")).filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
-                    .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
+            return Arrays.stream(headers.split("\n"))
+                    .filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                    .map(l -> l.substring(name.length() + 1).trim())
+                    .findFirst()
+                    .orElse(null);
         }
     }
 }
--- a/src/test/java/beechfall/wire/HostTest.java
+++ b/src/test/java/beechfall/wire/HostTest.java
@@ -17,14 +17,15 @@
 
 /** The wire: round trips, several instances, and plain messages about malformed input. */
 class HostTest {
-    private static final String SETUP = "balancers=3 rank=2 bounds.cancel=true bounds.may_duplicate=false bounds.most_tries=4 "
-            + "bounds.probes=false bounds.max_retry_after_us=2000000 bounds.connect_timeout_us=150000 registry_mode=on_request locality=skoyen "
-            + "quantum_us=4000 invariants.cold_from=0.4 invariants.cold_us=8100000 invariants.fall_multiple=4.0 "
-            + "invariants.fall_us=1000000 invariants.full_unproven=true invariants.must_ask_in_us=10000000 over_share_worth=0.05 "
-            + "profiles.count=1 profiles.0.name=pay profiles.0.aim_us=400000 profiles.0.deadline_us=2000000 "
-            + "profiles.0.value=10.0 profiles.0.late_worth=0.0 profiles.0.effect=deduplicated "
-            + "profiles.0.key_scope=zone profiles.0.window_us=1200000 projects.count=1 projects.0.name=vest "
-            + "projects.0.allowance_per_s=277.0 extra.warm_keys=true some.new.setting=x";
+    private static final String SETUP =
+            "balancers=3 rank=2 bounds.cancel=true bounds.may_duplicate=false bounds.most_tries=4 "
+                    + "bounds.probes=false bounds.max_retry_after_us=2000000 bounds.connect_timeout_us=150000 registry_mode=on_request locality=skoyen "
+                    + "quantum_us=4000 invariants.cold_from=0.4 invariants.cold_us=8100000 invariants.fall_multiple=4.0 "
+                    + "invariants.fall_us=1000000 invariants.full_unproven=true invariants.must_ask_in_us=10000000 over_share_worth=0.05 "
+                    + "profiles.count=1 profiles.0.name=pay profiles.0.aim_us=400000 profiles.0.deadline_us=2000000 "
+                    + "profiles.0.value=10.0 profiles.0.late_worth=0.0 profiles.0.effect=deduplicated "
+                    + "profiles.0.key_scope=zone profiles.0.window_us=1200000 projects.count=1 projects.0.name=vest "
+                    + "projects.0.allowance_per_s=277.0 extra.warm_keys=true some.new.setting=x";
     private static final String UP = "up who=3 prng=5192 " + SETUP + "\n";
     private static final String LIST = "update who=3 form=stale_copy revision=41 nodes_list=1\n"
             + "entry stage_state=IN group=2 machine=std-1 zone=ulven last_start_us=7 capacity_hint=1.5 "
@@ -38,16 +39,19 @@
 
     private int run(String input) throws IOException {
         return new Host(s -> {
-            settings.add(s);
-            return (now, event, sink) -> {
-                events.add(event);
-                if (event instanceof Balancer.TimerFired t && t.token().equals("boom")) {
-                    throw new IllegalStateException("out\nof order");
-                }
-                actions.forEach(sink);
-            };
-        }).run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
-                new PrintStream(errors, true, StandardCharsets.UTF_8));
+                    settings.add(s);
+                    return (now, event, sink) -> {
+                        events.add(event);
+                        if (event instanceof Balancer.TimerFired t && t.token().equals("boom")) {
+                            throw new IllegalStateException("out\nof order");
+                        }
+                        actions.forEach(sink);
+                    };
+                })
+                .run(
+                        new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+                        out,
+                        new PrintStream(errors, true, StandardCharsets.UTF_8));
     }
 
     private String written() {
@@ -71,43 +75,70 @@
     @Test
     void readsSettings() throws IOException {
         assertThat(run(batch(UP))).isZero();
-        assertThat(settings).containsExactly(new Balancer.Settings(3, 2, "skoyen", 4000,
-                List.of(new Balancer.RequestClass("pay", 400000, 2000000, 10, 0, Balancer.Effect.KEYED,
-                        Balancer.Scope.ZONE, 1200000)),
-                List.of(new Balancer.Tenant("vest", 277)), 0.05, true,
-                new Balancer.Limits(true, false, false, true, 4, 2000000, 150000),
-                new Balancer.Rules(0.4, 8100000, 4, 1000000, 10000000, true), 5192));
+        assertThat(settings)
+                .containsExactly(new Balancer.Settings(
+                        3,
+                        2,
+                        "skoyen",
+                        4000,
+                        List.of(new Balancer.RequestClass(
+                                "pay", 400000, 2000000, 10, 0, Balancer.Effect.KEYED, Balancer.Scope.ZONE, 1200000)),
+                        List.of(new Balancer.Tenant("vest", 277)),
+                        0.05,
+                        true,
+                        new Balancer.Limits(true, false, false, true, 4, 2000000, 150000),
+                        new Balancer.Rules(0.4, 8100000, 4, 1000000, 10000000, true),
+                        5192));
     }
 
     @Test
     void tellsNobodyWhenToComeBackWhereThatIsNotAllowed() throws IOException {
-        assertThat(run(batch(UP.replace("bounds.probes=false", "bounds.probes=false bounds.retry_after=false")))).isZero();
+        assertThat(run(batch(UP.replace("bounds.probes=false", "bounds.probes=false bounds.retry_after=false"))))
+                .isZero();
         assertThat(settings).extracting(s -> s.limits().maxRetryAfterUs()).containsExactly(0L);
     }
 
     @Test
     void readsEveryEvent() throws IOException {
-        assertThat(run(batch(UP, LIST,
-                "incoming who=3 op_id=t/1 kind=pay user_group=vest path_key=user:k patience_left_us=240000 repeat=1\n",
-                "completed who=3 op_id=t/1 last=0 cost_time_us=18500 how=shed backend=10.1.1.1:80 go=0 health_info=rif:2\n",
-                "flowing who=3 op_id=t/1 cost_time_us=9 go=1 backend=10.1.1.1:80\n", "hangup who=3 op_id=t/1\n",
-                "probed who=3 cost_time_us=14 how=delivered backend=10.1.1.1:80\n", "deadline_hit who=3 ctx=x\n",
-                "inbox who=3 author=2 content=6869\n"))).isZero();
-        assertThat(events).containsExactly(
-                new Balancer.Members(Balancer.ListKind.CACHED, List.of(new Balancer.Backend("10.1.1.1:80",
-                        Balancer.State.READY, "std-1", "ulven", 2, 7, 1.5))),
-                new Balancer.Arrival("t/1", "pay", "vest", "user:k", 240000, true),
-                new Balancer.AttemptEnded("t/1", 0, "10.1.1.1:80", Balancer.Outcome.FULL, 18500, false),
-                new Balancer.StreamStarted("t/1", 1), new Balancer.ClientGone("t/1"),
-                new Balancer.ProbeEnded("10.1.1.1:80", Balancer.Outcome.OK, 14), new Balancer.TimerFired("x"));
+        assertThat(run(batch(
+                        UP,
+                        LIST,
+                        "incoming who=3 op_id=t/1 kind=pay user_group=vest path_key=user:k patience_left_us=240000 repeat=1\n",
+                        "completed who=3 op_id=t/1 last=0 cost_time_us=18500 how=shed backend=10.1.1.1:80 go=0 health_info=rif:2\n",
+                        "flowing who=3 op_id=t/1 cost_time_us=9 go=1 backend=10.1.1.1:80\n",
+                        "hangup who=3 op_id=t/1\n",
+                        "probed who=3 cost_time_us=14 how=delivered backend=10.1.1.1:80\n",
+                        "deadline_hit who=3 ctx=x\n",
+                        "inbox who=3 author=2 content=6869\n")))
+                .isZero();
+        assertThat(events)
+                .containsExactly(
+                        new Balancer.Members(
+                                Balancer.ListKind.CACHED,
+                                List.of(new Balancer.Backend(
+                                        "10.1.1.1:80", Balancer.State.READY, "std-1", "ulven", 2, 7, 1.5))),
+                        new Balancer.Arrival("t/1", "pay", "vest", "user:k", 240000, true),
+                        new Balancer.AttemptEnded("t/1", 0, "10.1.1.1:80", Balancer.Outcome.FULL, 18500, false),
+                        new Balancer.StreamStarted("t/1", 1),
+                        new Balancer.ClientGone("t/1"),
+                        new Balancer.ProbeEnded("10.1.1.1:80", Balancer.Outcome.OK, 14),
+                        new Balancer.TimerFired("x"));
     }
 
     @Test
     void writesEveryAction() throws IOException {
-        actions.addAll(List.of(new Balancer.Send("t/1", "b:1", 80), new Balancer.SetTimer(90, "q"),
-                new Balancer.Refuse("t/1", 0), new Balancer.Refuse("t/2", 5), new Balancer.Fail("t/3"),
-                new Balancer.Cancel("t/1", 2), new Balancer.Probe("b:1"), new Balancer.Watch(true),
-                new Balancer.Fetch(), new Balancer.Release("b:1"), new Balancer.Log("two\nlines")));
+        actions.addAll(List.of(
+                new Balancer.Send("t/1", "b:1", 80),
+                new Balancer.SetTimer(90, "q"),
+                new Balancer.Refuse("t/1", 0),
+                new Balancer.Refuse("t/2", 5),
+                new Balancer.Fail("t/3"),
+                new Balancer.Cancel("t/1", 2),
+                new Balancer.Probe("b:1"),
+                new Balancer.Watch(true),
+                new Balancer.Fetch(),
+                new Balancer.Release("b:1"),
+                new Balancer.Log("two\nlines")));
         assertThat(run(batch(UP, "deadline_hit who=3 ctx=x\n"))).isZero();
         assertThat(written()).isEqualTo("""
                 relay who=3 op_id=t/1 backend=b:1 max_wait_us=80
@@ -127,7 +158,8 @@
 
     @Test
     void anInstanceStartsAfreshAfterADetachInTheSameBatch() throws IOException {
-        assertThat(run(batch(UP) + batch("detach who=3\n", UP, "hangup who=3 op_id=t/1\n"))).isZero();
+        assertThat(run(batch(UP) + batch("detach who=3\n", UP, "hangup who=3 op_id=t/1\n")))
+                .isZero();
         assertThat(settings).hasSize(2);
         assertThat(events).hasSize(1);
     }
@@ -135,22 +167,27 @@
     @Test
     void aFailureOfTheModulePanicsThatInstanceAndSaysWhere() throws IOException {
         assertThat(run(batch(UP, "deadline_hit who=3 ctx=boom\n"))).isZero();
-        assertThat(written()).startsWith("panic who=3 message=java.lang.IllegalStateException: out of order at beechfall")
-                .endsWith("\nok\n").contains("HostTest.java:");
+        assertThat(written())
+                .startsWith("panic who=3 message=java.lang.IllegalStateException: out of order at beechfall")
+                .endsWith("\nok\n")
+                .contains("HostTest.java:");
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "hangup who=3| hangup: missing field 'op_id'",
-        "hangup op_id=1| hangup: missing field 'who'",
-        "hangup who=x op_id=1| hangup: bad number 'x' in 'who'",
-        "hangup who=4 op_id=1| 'hangup' for instance 4, which is not up",
-        "wave who=3| unknown event 'wave'",
-        "hangup who=3 op_id| malformed field 'op_id'",
-        "completed who=3 op_id=1 go=0 backend=b cost_time_us=1 how=odd| completed: unknown value 'odd' in 'how'",
-        "completed who=3 op_id=1 go=0 backend=b cost_time_us=1 how=shed last=2| completed: bad bool '2' in 'last'",
-        "update who=3 form=whole nodes_list=1| expected 'entry', found 'commit'",
-        "batch wall_us=2| batch: missing field 'who'"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "hangup who=3| hangup: missing field 'op_id'",
+                "hangup op_id=1| hangup: missing field 'who'",
+                "hangup who=x op_id=1| hangup: bad number 'x' in 'who'",
+                "hangup who=4 op_id=1| 'hangup' for instance 4, which is not up",
+                "wave who=3| unknown event 'wave'",
+                "hangup who=3 op_id| malformed field 'op_id'",
+                "completed who=3 op_id=1 go=0 backend=b cost_time_us=1 how=odd| completed: unknown value 'odd' in 'how'",
+                "completed who=3 op_id=1 go=0 backend=b cost_time_us=1 how=shed last=2| completed: bad bool '2' in 'last'",
+                "update who=3 form=whole nodes_list=1| expected 'entry', found 'commit'",
+                "batch wall_us=2| batch: missing field 'who'"
+            })
     void saysWhatIsMalformedAndWhere(String line, String message) throws IOException {
         assertThat(run(batch(UP, line + "\n"))).isEqualTo(1);
         assertThat(complaint()).matches("line [34]: .*").endsWith(message.strip());
@@ -170,9 +207,25 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"balancers", "rank", "bounds.cancel", "bounds.most_tries", "registry_mode", "locality", "quantum_us",
-        "invariants.cold_from", "invariants.fall_us", "invariants.must_ask_in_us", "over_share_worth", "profiles.count",
-        "profiles.0.aim_us", "profiles.0.effect", "profiles.0.window_us", "projects.0.allowance_per_s"})
+    @ValueSource(
+            strings = {
+                "balancers",
+                "rank",
+                "bounds.cancel",
+                "bounds.most_tries",
+                "registry_mode",
+                "locality",
+                "quantum_us",
+                "invariants.cold_from",
+                "invariants.fall_us",
+                "invariants.must_ask_in_us",
+                "over_share_worth",
+                "profiles.count",
+                "profiles.0.aim_us",
+                "profiles.0.effect",
+                "profiles.0.window_us",
+                "projects.0.allowance_per_s"
+            })
     void namesAMissingSetting(String setting) throws IOException {
         String without = UP.replaceAll(" " + setting.replace(".", "\\.") + "=\\S*", "");
         assertThat(without).isNotEqualTo(UP);
@@ -181,10 +234,12 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"balancers=3,balancers=0,invalid setting: balancers",
+    @CsvSource({
+        "balancers=3,balancers=0,invalid setting: balancers",
         "profiles.0.aim_us=400000,profiles.0.aim_us=-1,invalid setting: aim of class pay",
         "bounds.cancel=true,bounds.cancel=maybe,unknown value 'maybe' in setting 'bounds.cancel'",
-        "quantum_us=4000,quantum_us=4.5,bad number '4.5' in setting 'quantum_us'"})
+        "quantum_us=4000,quantum_us=4.5,bad number '4.5' in setting 'quantum_us'"
+    })
     void namesASettingThatCannotBe(String good, String bad, String message) throws IOException {
         assertThat(run(batch(UP.replace(good, bad)))).isEqualTo(1);
         assertThat(complaint()).isEqualTo("line 2: up: " + message);
