Name the parts of the warm-up by standard terms

Cause: the warm-up's stub peers and its pauses had names that needed explaining. Change: stub server, stub client, paused clients and rounds; Javadoc says what is sent and how long it may take. Moved names only, no behaviour. Measured: WarmupTest's three tests pass.

--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -30,15 +30,15 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Runs the program's own code before it has anything to serve. Cold code is loaded and interpreted at many times its
- * later cost; on part of a core the first seconds of service would answer most requests too late. All of it stays
- * inside the process: a second set of the proxy's parts, and a client, a backend and a discovery made of channels that
- * are no sockets.
+ * Warms up the Java runtime before the proxy serves clients: classes are loaded and hot methods compiled, which on a
+ * share of a core would otherwise make the first seconds of service late. Everything stays inside the process: a second
+ * proxy with stub clients, backends and discovery, connected by Netty's in-process channels.
  */
 final class Warmup {
+    /** Requests of a whole warm-up; by then the serving path is compiled. */
     private static final int REQUESTS = 12_000;
-    /** After so many all clients pause: a thread that never waits is taken for one that hangs. */
-    private static final int ROUND = 240;
+    /** Requests between two pauses of all clients, so that the event loop waits now and then as it does in service. */
+    private static final int REQUESTS_PER_ROUND = 240;
 
     private static final long PAUSE_MS = 1;
     private static final int CLIENTS = 8;
@@ -49,17 +49,17 @@
     private final Transport transport = Transport.inProcess();
     private final String list;
     private final CountDownLatch done = new CountDownLatch(CLIENTS);
-    private final Set<ChannelHandlerContext> pausing = new HashSet<>();
-    private int round = ROUND;
+    private final Set<ChannelHandlerContext> paused = new HashSet<>();
+    private int roundEnd = REQUESTS_PER_ROUND;
     private int sent;
     private int served;
 
-    private Warmup(Config like) {
+    private Warmup(Config template) {
         ObjectNode known = Json.object().put("version", 1).put("full", true);
         ArrayNode servers = known.putArray("servers");
         for (int i = 0; i < BACKENDS; i++) {
             servers.addObject()
-                    .put("id", "warm-" + i)
+                    .put("id", "warm-up-" + i)
                     .put("addr", "127.0.0.1:" + (i + 1))
                     .put("zone", "a")
                     .put("kind", "k")
@@ -73,30 +73,36 @@
                 "warm-up",
                 address(0),
                 address(BACKENDS + 1),
-                like.sockets(),
+                template.sockets(),
                 known,
-                like.settings(),
-                like.connIdleUs(),
-                like.connectTimeoutUs());
+                template.settings(),
+                template.connIdleUs(),
+                template.connectTimeoutUs());
     }
 
-    /** Serves made-up requests until the code is warm or the time is up; returns how many were served. */
-    static int run(Config config, long mostMs) {
-        return new Warmup(config).run(mostMs);
+    /**
+     * Serves synthetic requests until all of them are sent or the time is up.
+     *
+     * @param config the configuration of the proxy to warm up for; classes and tenants come from its settings
+     * @param timeoutMs the longest time that this may take, in milliseconds
+     * @return the number of requests answered with 200
+     */
+    static int run(Config config, long timeoutMs) {
+        return new Warmup(config).run(timeoutMs);
     }
 
     private static InetSocketAddress address(int port) {
         return Config.address("127.0.0.1:" + port);
     }
 
-    private int run(long mostMs) {
+    private int run(long timeoutMs) {
         var serve = new Serve(config, new Policy(config.settings()), transport);
         try {
             for (int i = 1; i <= BACKENDS + 1; i++) {
                 transport
                         .server()
                         .clone()
-                        .childHandler(pipeline(new Peer()))
+                        .childHandler(pipeline(new StubServer()))
                         .bind(transport.address(address(i)))
                         .syncUninterruptibly();
             }
@@ -104,7 +110,7 @@
             for (int i = 0; i < CLIENTS; i++) {
                 connect();
             }
-            done.await(mostMs, TimeUnit.MILLISECONDS);
+            done.await(timeoutMs, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
@@ -114,64 +120,63 @@
     }
 
     private void connect() {
-        transport.client().clone().handler(pipeline(new Client())).connect(transport.address(address(0)));
+        transport.client().clone().handler(pipeline(new StubClient())).connect(transport.address(address(0)));
     }
 
-    private void goOn() {
-        round += ROUND;
-        List<ChannelHandlerContext> next = List.copyOf(pausing);
-        pausing.clear();
-        next.forEach(ctx -> ((Client) ctx.handler()).ask(ctx));
+    private void resumePausedClients() {
+        roundEnd += REQUESTS_PER_ROUND;
+        List<ChannelHandlerContext> resumed = List.copyOf(paused);
+        paused.clear();
+        resumed.forEach(ctx -> ((StubClient) ctx.handler()).sendNext(ctx));
     }
 
-    private static ChannelInitializer<Channel> pipeline(ChannelHandler end) {
+    private static ChannelInitializer<Channel> pipeline(ChannelHandler handler) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
                         .addLast(
-                                end instanceof Client ? new HttpClientCodec() : new HttpServerCodec(),
+                                handler instanceof StubClient ? new HttpClientCodec() : new HttpServerCodec(),
                                 new HttpObjectAggregator(Backends.MAX_BODY),
-                                end);
+                                handler);
             }
         };
     }
 
     /**
-     * Writes as a task of its own, as nothing comes back from a socket before the write has ended either. These
-     * channels would hand it over at once, and with it all that follows, one inside the other.
-     * A loop that is to end runs whatever tasks there are: it gets no more.
+     * Writes in a task of its own. An in-process channel delivers to its peer inside the write, unlike a socket, so that
+     * calls would nest without end. Nothing is added to an event loop that is shutting down.
      */
-    private static void later(ChannelHandlerContext ctx, Object message) {
+    private static void writeLater(ChannelHandlerContext ctx, Object message) {
         if (!ctx.executor().isShuttingDown()) {
             ctx.executor().execute(() -> ctx.writeAndFlush(message));
         }
     }
 
-    /** A backend, or discovery. */
+    /** Answers as a backend or, on its paths, as discovery. */
     @ChannelHandler.Sharable
-    private final class Peer extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class StubServer extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            boolean asksForList = request.uri().startsWith("/v1/");
-            if (asksForList
+            boolean listRequest = request.uri().startsWith("/v1/");
+            if (listRequest
                     && request.uri().contains("hold_ms")
                     && !request.uri().contains("hold_ms=0")) {
                 return;
             }
-            byte[] body = asksForList ? list.getBytes(StandardCharsets.US_ASCII) : BODY;
+            byte[] body = listRequest ? list.getBytes(StandardCharsets.US_ASCII) : BODY;
             var answer = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
             HttpUtil.setContentLength(answer, body.length);
-            later(ctx, answer);
+            writeLater(ctx, answer);
         }
     }
 
-    /** A client that asks again whenever it is answered. */
-    private final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** A client that sends its next request once it is answered. */
+    private final class StubClient extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ask(ctx);
+            sendNext(ctx);
         }
 
         @Override
@@ -179,23 +184,23 @@
             if (answer.status().equals(HttpResponseStatus.OK)) {
                 served++;
             }
-            ask(ctx);
+            sendNext(ctx);
         }
 
-        /** Where the machine is slow the proxy finds its client idle for too long, and ends the connection. */
+        /** On a slow machine the proxy closes the connection of a client that was paused for too long. */
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            pausing.remove(ctx);
+            paused.remove(ctx);
             if (sent <= REQUESTS && !transport.loop().isShuttingDown()) {
                 connect();
             }
         }
 
-        private void ask(ChannelHandlerContext ctx) {
-            if (sent >= round && sent < REQUESTS) {
-                pausing.add(ctx);
-                if (pausing.size() == CLIENTS) {
-                    transport.loop().schedule(Warmup.this::goOn, PAUSE_MS, TimeUnit.MILLISECONDS);
+        private void sendNext(ChannelHandlerContext ctx) {
+            if (sent >= roundEnd && sent < REQUESTS) {
+                paused.add(ctx);
+                if (paused.size() == CLIENTS) {
+                    transport.loop().schedule(Warmup.this::resumePausedClients, PAUSE_MS, TimeUnit.MILLISECONDS);
                 }
                 return;
             }
@@ -227,7 +232,7 @@
                     request.headers().set(Headers.IDEMPOTENCY_KEY, Integer.toHexString(sent));
                 }
             }
-            later(ctx, request);
+            writeLater(ctx, request);
         }
     }
 }
