Bound the delay between failed calls for the list by the 6 s of its term

A change counts as told 6 s after discovery had it and could be reached, whatever calls fail. The delay after a failed call was a part of must_ask_in_us alone: up to 3.75 s at 10 s and up to 22 s at 60 s, so that a call begun just before the return, a delay and one more failed call took longer than the term. A failure that was told while a call was already due also put that call off, again and again.

The delays are now their own module: exponential from 0.2 s, jittered downwards by up to half, and never longer than half of what three calls of 1.2 s leave of 6 s, or than must_ask_in_us. A failure never puts off a call that is due sooner.

The new tests of RulesTest show the next call within the bound after each of 40 failures for five values of must_ask_in_us; `mvn verify` passes.

--- /dev/null
+++ b/src/main/java/beechfall/AskBackoff.java
@@ -0,0 +1,56 @@
+package beechfall;
+
+import java.util.Random;
+
+/**
+ * The delays between failed calls to discovery: exponential, with jitter, and capped so that a change is in force in time
+ * whatever calls fail around the moment at which discovery can be reached again.
+ *
+ * <p>The longest way to a list goes through a call that began just before discovery could be reached and runs out, a
+ * delay, a first call after that which runs out too, a delay, and a call that is answered at the last moment.
+ */
+public final class AskBackoff {
+    /** The standing page: a change counts as told so long after discovery had it and could be reached, in microseconds. */
+    static final long TOLD_AFTER_US = 6_000_000;
+    /**
+     * Time within which a call that does not wait has to be answered, in microseconds, connecting included: long enough
+     * for one lost packet of the handshake, which TCP sends again after 1 s (RFC 6298).
+     */
+    public static final long CALL_TIMEOUT_US = 1_200_000;
+
+    private static final int CALLS_ON_THE_LONGEST_WAY = 3;
+    private static final int DELAYS_ON_THE_LONGEST_WAY = 2;
+    /** The longest delay between the end of a failed call and the next call, in microseconds. */
+    static final long MAX_DELAY_US =
+            (TOLD_AFTER_US - CALLS_ON_THE_LONGEST_WAY * CALL_TIMEOUT_US) / DELAYS_ON_THE_LONGEST_WAY;
+
+    /** The delay before jitter after a first failure, in microseconds; it doubles with each further one in a row. */
+    private static final long FIRST_DELAY_US = 200_000;
+
+    private final Random random;
+    private final long maxDelayUs;
+    private long delayUs;
+
+    /**
+     * Starts with no failure.
+     *
+     * @param askWithinUs time in which a proxy without a watch has to ask, in microseconds: no delay is longer
+     */
+    AskBackoff(Random random, long askWithinUs) {
+        this.random = random;
+        this.maxDelayUs = Math.min(MAX_DELAY_US, askWithinUs);
+        succeeded();
+    }
+
+    /** A call was answered: the next failure is the first in a row. */
+    void succeeded() {
+        delayUs = Math.min(FIRST_DELAY_US, maxDelayUs);
+    }
+
+    /** Returns how long to wait after one more failure, in microseconds: between half of the delay and the whole of it. */
+    long failed() {
+        long jitteredUs = (long) Math.ceil(delayUs * (1 - random.nextDouble() / 2));
+        delayUs = Math.min(2 * delayUs, maxDelayUs);
+        return jitteredUs;
+    }
+}
--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -75,7 +75,7 @@
     private long refreshAt = Long.MIN_VALUE;
     private double retryTokens = RETRY_BURST;
     private long askAt = Long.MIN_VALUE;
-    private int failedAsks;
+    private final AskBackoff askBackoff;
     private int outstanding;
     private final Set<Attempt> inOrder = new LinkedHashSet<>();
     private final long crowdUs;
@@ -100,6 +100,7 @@
         this.settings = settings;
         this.rules = settings.rules();
         this.random = new Random(settings.seed());
+        this.askBackoff = new AskBackoff(random, rules.askWithinUs());
         settings.classes().forEach(c -> classes.put(c.name(), c));
         settings.tenants().forEach(t -> quotas.put(t.name(), new Quota(t, settings, quotas.size())));
         this.flowsOfClass = 1 + quotas.size();
@@ -279,13 +280,15 @@
 
     private void members(Members news) {
         if (news.kind() == ListKind.FAILED) {
-            // A call that failed is made again, later each time and not in step with the other proxies.
-            failedAsks = Math.min(failedAsks + 1, 4);
-            askIn((long) (rules.askWithinUs() / 64.0 * (1 << failedAsks) * (0.5 + random.nextDouble())));
+            long delayUs = askBackoff.failed();
+            // A further failure never puts off a call that is due sooner.
+            if (now + delayUs < askAt) {
+                askIn(delayUs);
+            }
             return;
         }
         if (news.kind() != ListKind.CACHED) {
-            failedAsks = 0;
+            askBackoff.succeeded();
             askAt = Long.MAX_VALUE;
         }
         List<Server> before = List.copyOf(servers);
--- a/src/test/java/beechfall/RulesTest.java
+++ b/src/test/java/beechfall/RulesTest.java
@@ -28,9 +28,12 @@
 import beechfall.Balancer.State;
 import beechfall.Balancer.StreamStarted;
 import beechfall.Balancer.Watch;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The rules, one group each. */
 class RulesTest {
@@ -364,6 +367,57 @@
             assertThat(p.timer(timer.token())).contains(new Watch(true));
         }
 
+        /** However many calls fail, and whether or not two of them overlap, the next is made within the bound. */
+        @ParameterizedTest
+        @ValueSource(longs = {50 * MS, 500 * MS, 10 * S, 60 * S, 3_600 * S})
+        void theNextCallIsMadeWithinTheBoundAfterAnyRowOfFailures(long askWithinUs) {
+            var rules = new Rules(0.4, 8 * S, 4, S, askWithinUs, false);
+            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), rules));
+            long boundUs = Math.min(AskBackoff.MAX_DELAY_US, askWithinUs);
+            p.feed(new Members(ListKind.CACHED, List.of(backend("a"))));
+            for (int i = 0; i < 40; i++) {
+                long calls = watches(p);
+                p.feed(new Members(ListKind.FAILED, List.of()));
+                if (i % 2 == 1) {
+                    p.run(boundUs / 4);
+                    p.feed(new Members(ListKind.FAILED, List.of()));
+                    p.run(boundUs - boundUs / 4);
+                } else {
+                    p.run(boundUs);
+                }
+                assertThat(watches(p)).as("failure %d", i).isGreaterThan(calls);
+            }
+        }
+
+        private static long watches(Proxy p) {
+            return p.actions.stream().filter(new Watch(true)::equals).count();
+        }
+
+        /** Two calls that run out and the delays after them leave time for the call that is answered. */
+        @Test
+        void aChangeIsInForceInTimeThoughTwoCallsFail() {
+            long longestUs = 3 * AskBackoff.CALL_TIMEOUT_US + 2 * AskBackoff.MAX_DELAY_US;
+            assertThat(longestUs).isEqualTo(6 * S);
+        }
+
+        /** Each call is priced over the whole fleet: in an outage they grow rare, up to the bound. */
+        @Test
+        void callsThatFailGrowRare() {
+            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
+            p.feed(new Members(ListKind.CACHED, List.of(backend("a"))));
+            var delays = new ArrayList<Long>();
+            for (int i = 0; i < 6; i++) {
+                SetTimer timer = (SetTimer)
+                        p.feed(new Members(ListKind.FAILED, List.of())).get(0);
+                delays.add(timer.atUs() - p.now);
+                p.now = timer.atUs();
+                p.timer(timer.token());
+            }
+            assertThat(delays.get(0)).isBetween(100 * MS, 200 * MS);
+            assertThat(delays.get(1)).isBetween(200 * MS, 400 * MS);
+            assertThat(delays.subList(3, 6)).allMatch(d -> d >= AskBackoff.MAX_DELAY_US / 2);
+        }
+
         @Test
         void proxiesDoNotAskAgainInStep() {
             var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
