Split the calls to discovery, the list and the watch, and never make two calls at once

Discovery held the HTTP call, the reading of the list and the state of the watch in one class.

Three faults went with it. A whole list was asked for beside the watch, and the two answers could tell old news after new. A failed call for it was never made again, as the watch still stood, but counted as a failure of the watch. And one that crossed a move of discovery was made again without a pause. There is one call at a time now: a call for the whole list takes the watch along, and fails as the watch does. A retry to an agent no longer revives a watch that was ended meanwhile.

DiscoveryTest.aWholeListIsNeverAskedForBesideTheWatch; `mvn verify` passes.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -3,96 +3,74 @@
 import beechfall.Balancer;
 import beechfall.Balancer.ListKind;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.buffer.ByteBufInputStream;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
-import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Asks discovery for the list of backends. A watch is a row of calls, each sent as soon as the last is answered; when
- * one fails the watch is over, the module is told, and it is the module that asks again, later each time.
+ * The watch on discovery's list of backends: a row of calls, each sent as soon as the last is answered, and never two at
+ * once. When one fails the watch is over, the module is told, and it is the module that asks again, later each time. An
+ * agent on the proxy's own machine is asked again without the module.
  */
-final class Discovery {
-    private static final String PATH = "/v1/endpoints";
-    private static final int MAX_ANSWER = 8 * 1024 * 1024;
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
+final class Discovery implements DiscoveryCall.Listener {
     /**
      * An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. What it has
      * to tell counts as told 2 s after the wait. A service that all proxies share may have a queue; an agent answers at
      * once, and what it hears after a silence of its own counts as told right then.
      */
-    private static final long SERVICE_SILENCE_MS = 2_000;
+    private static final long SERVICE_TIMEOUT_MS = 2_000;
 
-    private static final long AGENT_SILENCE_MS = 600;
-    private static final long MOST_HOLD_MS = 60_000;
-    private static final long LEAST_HOLD_MS = 1_500;
-    /** Each empty answer is work for a service that all proxies share: so long for each of them. */
-    private static final long HOLD_FOR_EACH_MS = 500;
+    private static final long AGENT_TIMEOUT_MS = 600;
+    /** The protocol page: the longest time that a call may wait, in milliseconds. */
+    private static final long MAX_HOLD_MS = 60_000;
 
-    private static final long NO_NEWS_MS = 50;
-    private static final long AGENT_RETRY_MS = 100;
-    private static final Map<String, Balancer.State> STATES = Map.of(
-            "ready", Balancer.State.READY,
-            "draining", Balancer.State.DRAINING,
-            "gone", Balancer.State.GONE);
+    private static final long MIN_HOLD_MS = 1_500;
+    /** Each empty answer is work for a service that all proxies share: so many milliseconds for each of them. */
+    private static final long HOLD_PER_PROXY_MS = 500;
+
+    private static final long NO_NEWS_DELAY_MS = 50;
+    private static final long AGENT_RETRY_DELAY_MS = 100;
 
     private final EventLoop loop;
     private final Transport transport;
     private final Log log;
     private final Proxy proxy;
-    private InetSocketAddress address;
     private final boolean pushed;
     private final long holdMs;
-    private final long silenceMs;
+    private final long timeoutMs;
     private final SplittableRandom random;
-    private Call watch;
-    private boolean wanted;
-    private long version = -1;
-    private final Promise<Void> heard;
+    private final Promise<Void> firstCallEnded;
+    private InetSocketAddress address;
+    private boolean watching;
+    /** The call that is out, or the one that was answered last while the next of its watch is yet to be sent. */
+    private DiscoveryCall call;
+
+    private long version = EndpointList.NO_VERSION;
 
     Discovery(Transport transport, Log log, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
         this.loop = transport.loop();
-        this.heard = loop.newPromise();
+        this.firstCallEnded = loop.newPromise();
         this.transport = transport;
         this.log = log;
         this.proxy = proxy;
         this.address = address;
         this.random = new SplittableRandom(settings.seed());
         this.pushed = !settings.limits().listMustBeAsked();
-        this.silenceMs = pushed ? AGENT_SILENCE_MS : SERVICE_SILENCE_MS;
+        this.timeoutMs = pushed ? AGENT_TIMEOUT_MS : SERVICE_TIMEOUT_MS;
         // A call whose other end has vanished looks like one that waits: until its answer is overdue no news comes.
         // Never more than twice the time within which a proxy has to ask.
-        long share = pushed ? LEAST_HOLD_MS : Math.max(LEAST_HOLD_MS, HOLD_FOR_EACH_MS * settings.balancers());
+        long share = pushed ? MIN_HOLD_MS : Math.max(MIN_HOLD_MS, HOLD_PER_PROXY_MS * settings.balancers());
         this.holdMs =
-                Math.min(Math.min(MOST_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
+                Math.min(Math.min(MAX_HOLD_MS, share), 2 * settings.rules().askWithinUs() / 1_000);
     }
 
     /** Ends when a first call has: until then the list is as old as the last life of this proxy. */
-    Future<Void> heard() {
-        return heard;
+    Future<Void> firstCallEnded() {
+        return firstCallEnded;
     }
 
     /** Returns whether there is an agent, which answers at once; what it has counts as told before it is asked. */
@@ -102,10 +80,9 @@
 
     /** Takes in the list that this proxy had in its last life, if any; the module begins with this. */
     void known(JsonNode list) {
-        if (list != null) {
-            version = list.path("version").asLong(-1);
-        }
-        take(ListKind.CACHED, list == null ? Json.object() : list);
+        EndpointList cached = EndpointList.cached(list, log);
+        version = cached.version();
+        proxy.members(ListKind.CACHED, cached.endpoints());
         if (pushed) {
             watch(true);
         }
@@ -113,13 +90,11 @@
 
     /** Begins the watch, or ends it. One that goes on already is left alone. */
     void watch(boolean on) {
-        wanted = on;
-        if (!on && watch != null) {
-            watch.end();
-            watch = null;
-        } else if (on && watch == null) {
-            // The first call does not wait: what was missed comes at once, or the news that there is none.
-            watch = new Call(true, 0);
+        watching = on;
+        if (!on) {
+            cancelCall();
+        } else if (call == null) {
+            callAtOnce();
         }
     }
 
@@ -132,180 +107,78 @@
             return;
         }
         address = to;
-        version = -1;
-        if (watch != null) {
-            watch.end();
-            watch = null;
-        }
-        if (wanted) {
-            watch(true);
+        version = EndpointList.NO_VERSION;
+        boolean asking = watching || call != null;
+        cancelCall();
+        if (asking) {
+            callAtOnce();
         }
     }
 
-    /** Asks for the whole list, once. */
+    /** Asks for the whole list. A watch goes on from there: two calls at once could tell old news after new. */
     void fetch() {
-        new Call(false, 0);
+        cancelCall();
+        version = EndpointList.NO_VERSION;
+        callAtOnce();
     }
 
-    private void answered(Call call, JsonNode list) {
-        if (!call.address.equals(address)) {
-            // A list from where this proxy asked before would undo what the new address has told meanwhile.
-            fetch();
-            return;
-        }
-        if (list == null) {
-            heard.trySuccess(null);
-            watch = call == watch ? null : watch;
-            failed();
-            return;
+    private void cancelCall() {
+        if (call != null) {
+            call.cancel();
+            call = null;
         }
-        if (call == watch) {
-            version = list.path("version").asLong();
-            if (call.waitMs == 0 || !list.path("servers").isEmpty()) {
-                // Before the news is taken in: a watch is over 200 ms after its last answer.
-                goOn(call);
-            } else {
-                // One that answers at once without any news would be asked as fast as the CPU allows.
-                loop.schedule(() -> goOn(call), NO_NEWS_MS, TimeUnit.MILLISECONDS);
-            }
-        }
-        take(list.path("full").asBoolean() ? ListKind.FULL : ListKind.DELTA, list);
-        heard.trySuccess(null);
     }
 
-    private void goOn(Call answered) {
-        if (watch == answered) {
-            // Not in step with the other proxies, which all start together.
-            watch = new Call(true, holdMs - random.nextLong(holdMs / 4 + 1));
-        }
+    /** Sends a call that does not wait: what was missed comes at once, or the news that there is none. */
+    private void callAtOnce() {
+        call(0);
     }
 
-    /** Where the module has to ask, it decides when to ask again; an agent on the same machine is simply kept up. */
-    private void failed() {
-        if (pushed) {
-            loop.schedule(() -> watch(true), AGENT_RETRY_MS, TimeUnit.MILLISECONDS);
-        } else {
-            proxy.members(ListKind.FAILED, List.of());
-        }
+    private void call(long waitMs) {
+        var query = new DiscoveryCall.Query(version, waitMs, timeoutMs);
+        call = new DiscoveryCall(transport, log, address, query, this);
+        call.start();
     }
 
-    private void take(ListKind kind, JsonNode list) {
-        var listed = new ArrayList<Backends.Listed>();
-        for (JsonNode entry : list.path("servers")) {
-            Backends.Listed line = line(entry);
-            if (line == null) {
-                log.line("discovery: a malformed entry is left out: " + entry);
-            } else {
-                listed.add(line);
-            }
+    @Override
+    public void answered(DiscoveryCall answered, EndpointList list) {
+        version = list.version();
+        if (!watching) {
+            call = null;
+        } else if (answered.query().holdMs() == 0 || !list.endpoints().isEmpty()) {
+            // Before the news is taken in: a watch is over 200 ms after its last answer.
+            continueWatch(answered);
+        } else {
+            // One that answers at once without any news would be asked as fast as the CPU allows.
+            loop.schedule(() -> continueWatch(answered), NO_NEWS_DELAY_MS, TimeUnit.MILLISECONDS);
         }
-        proxy.members(kind, listed);
+        proxy.members(list.full() ? ListKind.FULL : ListKind.DELTA, list.endpoints());
+        firstCallEnded.trySuccess(null);
     }
 
-    private static Backends.Listed line(JsonNode entry) {
-        Balancer.State state = STATES.get(entry.path("state").asText());
-        InetSocketAddress address = Config.address(entry.path("addr").asText());
-        String id = entry.path("id").asText();
-        double weight = entry.path("weight").asDouble(1);
-        if (state == null || address == null || id.isEmpty() || !(weight > 0) || Double.isInfinite(weight)) {
-            return null;
+    private void continueWatch(DiscoveryCall answered) {
+        if (call == answered) {
+            // Not in step with the other proxies, which all start together.
+            call(holdMs - random.nextLong(holdMs / 4 + 1));
         }
-        return new Backends.Listed(
-                new Balancer.Backend(
-                        id,
-                        state,
-                        entry.path("kind").asText(null),
-                        entry.path("zone").asText(null),
-                        entry.path("cell").asInt(),
-                        entry.path("started_ms").asLong() * 1_000,
-                        weight),
-                address);
     }
 
-    /** One call, on a connection of its own: a few in a minute are not worth keeping any. */
-    private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final InetSocketAddress address = Discovery.this.address;
-        private final String uri;
-        private final long waitMs;
-        private final Future<?> timer;
-        private final Channel channel;
-        private boolean ended;
-
-        Call(boolean watching, long waitMs) {
-            this.waitMs = waitMs;
-            uri = watching && version >= 0 ? PATH + "?from=" + version + "&hold_ms=" + waitMs : PATH;
-            // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
-            timer = loop.schedule(() -> finish(null, "no answer in time"), waitMs + silenceMs, TimeUnit.MILLISECONDS);
-            ChannelFuture connect = transport
-                    .client()
-                    .clone()
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                    .handler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel ch) {
-                            ch.pipeline()
-                                    .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER), Call.this);
-                        }
-                    })
-                    .connect(transport.address(address));
-            channel = connect.channel();
-            connect.addListener(f -> {
-                if (!f.isSuccess()) {
-                    finish(null, "no connection");
-                }
-            });
-        }
-
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-            HttpUtil.setKeepAlive(request, false);
-            ctx.writeAndFlush(request);
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (!response.status().equals(HttpResponseStatus.OK)
-                    || response.decoderResult().isFailure()) {
-                finish(null, "answer " + response.status());
-                return;
-            }
-            try (InputStream body = new ByteBufInputStream(response.content())) {
-                JsonNode list = Json.read(body);
-                boolean sound = list.path("version").canConvertToLong()
-                        && list.path("full").isBoolean()
-                        && list.path("servers").isArray();
-                finish(sound ? list : null, "the answer is no list");
-            } catch (IOException e) {
-                finish(null, "the answer is not JSON");
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            finish(null, "the connection broke");
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            finish(null, cause.toString());
-        }
-
-        private void finish(JsonNode list, String trouble) {
-            if (!ended) {
-                end();
-                if (list == null) {
-                    log.line("discovery: " + trouble);
-                }
-                answered(this, list);
-            }
+    /** Where the module has to ask, it decides when to ask again; an agent on the same machine is simply kept up. */
+    @Override
+    public void failed(DiscoveryCall failed, String reason) {
+        log.line("discovery: " + reason);
+        call = null;
+        firstCallEnded.trySuccess(null);
+        if (pushed) {
+            loop.schedule(this::retryAgent, AGENT_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+        } else {
+            proxy.members(ListKind.FAILED, List.of());
         }
+    }
 
-        void end() {
-            ended = true;
-            timer.cancel(false);
-            channel.close();
+    private void retryAgent() {
+        if (watching) {
+            watch(true);
         }
     }
 }
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -58,7 +58,12 @@
         discovery = new Discovery(transport, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(
-                clock, log, proxy, sockets, settings, () -> discovery.heard().isDone() && backends.anyReady());
+                clock,
+                log,
+                proxy,
+                sockets,
+                settings,
+                () -> discovery.firstCallEnded().isDone() && backends.anyReady());
     }
 
     /**
@@ -147,7 +152,7 @@
         loop.execute(() -> discovery.known(config.known()));
         if (discovery.pushed()) {
             // What has changed since the last life binds from the first moment: no client is let in before it is heard.
-            discovery.heard().awaitUninterruptibly();
+            discovery.firstCallEnded().awaitUninterruptibly();
         }
         return frontend.listen(transport, config.listen());
     }
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import beechfall.Balancer.Arrival;
 import beechfall.Balancer.Backend;
 import beechfall.Balancer.Event;
 import beechfall.Balancer.Fetch;
 import beechfall.Balancer.ListKind;
 import beechfall.Balancer.Members;
+import beechfall.Balancer.Refuse;
 import beechfall.Balancer.SetTimer;
 import beechfall.Balancer.State;
 import beechfall.Balancer.Watch;
@@ -266,6 +268,30 @@
         }
     }
 
+    /** Two calls at once could tell old news after new: the watch goes on from the whole list, and fails with it. */
+    @Test
+    void aWholeListIsNeverAskedForBesideTheWatch() throws Exception {
+        try (var proxy = new Fixture((event, actions) -> {
+                    watcher().handle(event, actions);
+                    if (event instanceof Arrival a) {
+                        actions.accept(new Fetch());
+                        actions.accept(new Refuse(a.id(), 0));
+                    }
+                });
+                var client = proxy.client()) {
+            Wire watch = proxy.list();
+            client.send(Fixture.get("r1")).read();
+            assertThat(watch.ended()).isTrue();
+            try (Wire failing = proxy.discovery.accept()) {
+                assertThat(failing.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            }
+            Wire whole = proxy.discovery.accept();
+            assertThat(whole.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            whole.send(Peer.ok(Fixture.list(45, true)));
+            assertThat(proxy.discovery.accept().read().first()).contains("?from=45&");
+        }
+    }
+
     /** A new configuration: the watch moves at once, asks for the whole list, and the known backends serve meanwhile. */
     @Test
     void movesToTheDiscoveryOfANewConfiguration() throws Exception {
