Back off from a watch that is answered and ends at once, again and again

Any answer ended the row of failures, so a watch whose first call was answered and whose second ended at once was begun anew at the first delay for as long as that went on: two calls each time, from every proxy of the fleet.

RulesTest.aWatchThatEndsAgainAndAgainIsBegunAnewMoreAndMoreRarely; `mvn verify` passes.

--- a/src/main/java/beechfall/AskBackoff.java
+++ b/src/main/java/beechfall/AskBackoff.java
@@ -30,6 +30,7 @@
     private final Random random;
     private final long maxDelayUs;
     private long delayUs;
+    private long failedAtUs = Long.MIN_VALUE / 2;
 
     /**
      * Starts with no failure.
@@ -39,18 +40,19 @@
     AskBackoff(Random random, long askWithinUs) {
         this.random = random;
         this.maxDelayUs = Math.min(MAX_DELAY_US, askWithinUs);
-        succeeded();
     }
 
-    /** A call was answered: the next failure is the first in a row. */
-    void succeeded() {
-        delayUs = Math.min(FIRST_DELAY_US, maxDelayUs);
-    }
-
-    /** Returns how long to wait after one more failure, in microseconds: between half of the delay and the whole of it. */
-    long failed() {
-        long jitteredUs = (long) Math.ceil(delayUs * (1 - random.nextDouble() / 2));
-        delayUs = Math.min(2 * delayUs, maxDelayUs);
-        return jitteredUs;
+    /**
+     * Returns how long to wait after one more failure, in microseconds: between half of the delay and the whole of it.
+     * A call that is answered does not end the row of failures, as a watch may end again and again right after; a time
+     * of {@link #TOLD_AFTER_US} without a failure does.
+     *
+     * @param nowUs the proxy's clock, in microseconds
+     */
+    long failed(long nowUs) {
+        boolean firstInRow = nowUs - failedAtUs > TOLD_AFTER_US;
+        failedAtUs = nowUs;
+        delayUs = Math.min(firstInRow ? FIRST_DELAY_US : 2 * delayUs, maxDelayUs);
+        return (long) Math.ceil(delayUs * (1 - random.nextDouble() / 2));
     }
 }
--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -280,7 +280,7 @@
 
     private void members(Members news) {
         if (news.kind() == ListKind.FAILED) {
-            long delayUs = askBackoff.failed();
+            long delayUs = askBackoff.failed(now);
             // A further failure never puts off a call that is due sooner.
             if (now + delayUs < askAt) {
                 askIn(delayUs);
@@ -288,7 +288,6 @@
             return;
         }
         if (news.kind() != ListKind.CACHED) {
-            askBackoff.succeeded();
             askAt = Long.MAX_VALUE;
         }
         List<Server> before = List.copyOf(servers);
--- a/src/test/java/beechfall/RulesTest.java
+++ b/src/test/java/beechfall/RulesTest.java
@@ -418,6 +418,28 @@
             assertThat(delays.subList(3, 6)).allMatch(d -> d >= AskBackoff.MAX_DELAY_US / 2);
         }
 
+        /** Each new watch costs a call or two, also where each is answered first and ends right after. */
+        @Test
+        void aWatchThatEndsAgainAndAgainIsBegunAnewMoreAndMoreRarely() {
+            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
+            p.feed(new Members(ListKind.CACHED, List.of(backend("a"))));
+            for (int i = 0; i < 4; i++) {
+                p.feed(new Members(ListKind.FAILED, List.of()));
+                p.run(AskBackoff.MAX_DELAY_US);
+                p.feed(new Members(ListKind.DELTA, List.of()));
+            }
+            assertThat(delayAfterAFailure(p)).isGreaterThanOrEqualTo(AskBackoff.MAX_DELAY_US / 2);
+            p.feed(new Members(ListKind.DELTA, List.of()));
+            p.now += AskBackoff.TOLD_AFTER_US + 1;
+            assertThat(delayAfterAFailure(p)).isLessThanOrEqualTo(200 * MS);
+        }
+
+        private static long delayAfterAFailure(Proxy p) {
+            SetTimer timer =
+                    (SetTimer) p.feed(new Members(ListKind.FAILED, List.of())).get(0);
+            return timer.atUs() - p.now;
+        }
+
         @Test
         void proxiesDoNotAskAgainInStep() {
             var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
