End each failing call to discovery within the time that the 6 s of its term leave

A call to a service had 2 s beyond its wait, one to an agent 0.6 s and a delay of 0.1 s. Two calls to an agent that failed took 1.4 s, where what it has binds after 1.05 s. An answer that stopped half way held the watch up for as long as the call might have waited, up to 20 s with 100 proxies.

A call to a service now has 1.2 s (one lost packet of the handshake is sent again after 1 s), one to an agent 0.45 s and a delay of 0.05 s, and the rest of an answer that has begun has that time as well. The first call of a process keeps 2 s and 0.6 s, as its code is yet to be loaded. The longest time from discovery's return to the list being in force, for asked lists and one more failed call after the return: 3 calls of 1.2 s and 2 delays of 1.2 s, 6.0 s.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -1,5 +1,6 @@
 package beechfall.proxy;
 
+import beechfall.AskBackoff;
 import beechfall.Balancer;
 import beechfall.Balancer.ListKind;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -18,13 +19,22 @@
  */
 final class Discovery implements DiscoveryCall.Listener {
     /**
-     * An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. What it has
-     * to tell counts as told 2 s after the wait. A service that all proxies share may have a queue; an agent answers at
-     * once, and what it hears after a silence of its own counts as told right then.
+     * Time beyond its wait after which a call to a service has failed, in milliseconds. What it has to tell counts as told
+     * 2 s after the wait (protocol page), and binds 1 s later: a call that is made anew may fail once within that.
      */
-    private static final long SERVICE_TIMEOUT_MS = 2_000;
+    private static final long SERVICE_TIMEOUT_MS = TimeUnit.MICROSECONDS.toMillis(AskBackoff.CALL_TIMEOUT_US);
+    /**
+     * The same for an agent, which answers at once (protocol page). What it hears after a silence of its own counts as
+     * told right then (standing page) and binds 1 s later: two calls that fail, and the delays after them, take that long.
+     */
+    private static final long AGENT_TIMEOUT_MS = 450;
+    /** Delay between a failed call to an agent and the next, in milliseconds. */
+    private static final long AGENT_RETRY_DELAY_MS = 50;
+    /** {@link #SERVICE_TIMEOUT_MS} for the first call of a process: the code that it runs is yet to be loaded. */
+    private static final long FIRST_SERVICE_TIMEOUT_MS = 2_000;
+    /** {@link #AGENT_TIMEOUT_MS} for the first call of a process. */
+    private static final long FIRST_AGENT_TIMEOUT_MS = 600;
 
-    private static final long AGENT_TIMEOUT_MS = 600;
     /** The protocol page: the longest time that a call may wait, in milliseconds. */
     private static final long MAX_HOLD_MS = 60_000;
 
@@ -33,7 +43,6 @@
     private static final long HOLD_PER_PROXY_MS = 500;
 
     private static final long NO_NEWS_DELAY_MS = 50;
-    private static final long AGENT_RETRY_DELAY_MS = 100;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -41,10 +50,12 @@
     private final Proxy proxy;
     private final boolean pushed;
     private final long holdMs;
+    private final long firstTimeoutMs;
     private final long timeoutMs;
     private final SplittableRandom random;
     private final Promise<Void> firstCallEnded;
     private InetSocketAddress address;
+    private boolean firstCallMade;
     private boolean watching;
     /** The call that is out, or the one that was answered last while the next of its watch is yet to be sent. */
     private DiscoveryCall call;
@@ -60,6 +71,7 @@
         this.address = address;
         this.random = new SplittableRandom(settings.seed());
         this.pushed = !settings.limits().listMustBeAsked();
+        this.firstTimeoutMs = pushed ? FIRST_AGENT_TIMEOUT_MS : FIRST_SERVICE_TIMEOUT_MS;
         this.timeoutMs = pushed ? AGENT_TIMEOUT_MS : SERVICE_TIMEOUT_MS;
         // A call whose other end has vanished looks like one that waits: until its answer is overdue no news comes.
         // Never more than twice the time within which a proxy has to ask.
@@ -135,7 +147,8 @@
     }
 
     private void call(long waitMs) {
-        var query = new DiscoveryCall.Query(version, waitMs, timeoutMs);
+        var query = new DiscoveryCall.Query(version, waitMs, firstCallMade ? timeoutMs : firstTimeoutMs);
+        firstCallMade = true;
         call = new DiscoveryCall(transport, log, address, query, this);
         call.start();
     }
--- a/src/main/java/beechfall/proxy/DiscoveryCall.java
+++ b/src/main/java/beechfall/proxy/DiscoveryCall.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -16,7 +17,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -42,7 +43,8 @@
      *
      * @param from the version that the proxy has; {@link EndpointList#NO_VERSION} asks for the whole list, at once
      * @param holdMs how long discovery may wait for something newer, in milliseconds
-     * @param timeoutMs time beyond that within which the answer has to be there, in milliseconds
+     * @param timeoutMs time beyond that within which the answer has to be there, in milliseconds; also the time within
+     *     which the connection has to come up, and the rest of an answer that has begun
      */
     record Query(long from, long holdMs, long timeoutMs) {
         boolean asksForWholeList() {
@@ -59,8 +61,9 @@
     private final InetSocketAddress address;
     private final Query query;
     private final Listener listener;
-    private Future<?> timer;
+    private ScheduledFuture<?> timer;
     private Channel channel;
+    private boolean answerStarted;
     private boolean ended;
 
     DiscoveryCall(Transport transport, Log log, InetSocketAddress address, Query query, Listener listener) {
@@ -87,6 +90,7 @@
                     protected void initChannel(Channel ch) {
                         ch.pipeline()
                                 .addLast(
+                                        new AnswerStart(),
                                         new HttpClientCodec(),
                                         new HttpObjectAggregator(MAX_ANSWER_BYTES),
                                         DiscoveryCall.this);
@@ -112,6 +116,25 @@
         timer = transport.loop().schedule(() -> fail("no answer in time"), delayMs, TimeUnit.MILLISECONDS);
     }
 
+    private void limitTimeLeft() {
+        if (timer.getDelay(TimeUnit.MILLISECONDS) > query.timeoutMs()) {
+            timer.cancel(false);
+            timeOutIn(query.timeoutMs());
+        }
+    }
+
+    /** Sees the first bytes of an answer: discovery no longer waits then, and the rest has to follow in time. */
+    private final class AnswerStart extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (!answerStarted && !ended) {
+                answerStarted = true;
+                limitTimeLeft();
+            }
+            ctx.fireChannelRead(bytes);
+        }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, query.uri());
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -162,6 +162,54 @@
         }
     }
 
+    private static final String STALLED_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{";
+
+    /** A call that doesn't wait is over 1.2 s after it began, whether its answer doesn't come or stops half way. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", STALLED_ANSWER})
+    void aCallThatDoesNotWaitFailsSoon(String answer) throws Exception {
+        try (var proxy = new Fixture(watcher(ListKind.FAILED, 1_700))) {
+            proxy.discovery.accept().close();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(answer);
+            Event next = Peer.next(proxy.events);
+            assertThat(next).isEqualTo(new Members(ListKind.FAILED, List.of()));
+        }
+    }
+
+    /** One that may wait, here for 15 s at least, is over soon after its answer has begun: what it told is lost else. */
+    @Test
+    void anAnswerThatStopsHalfWayIsNotWaitedForAsLongAsItMightHaveWaited() throws Exception {
+        try (var proxy =
+                new Fixture(watcher(ListKind.DELTA, 6_000), c -> c.replace("\"balancers\":2", "\"balancers\":100"))) {
+            Wire watch = proxy.list();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.DELTA);
+            watch.send(STALLED_ANSWER);
+            Event next = Peer.next(proxy.events);
+            assertThat(next).isEqualTo(new Members(ListKind.FAILED, List.of()));
+        }
+    }
+
+    /** What an agent has counts as told at once: two calls that fail and their delays take 1 s, the first 0.15 s more. */
+    @Test
+    void anAgentIsAskedAnewInTimeThoughCallsFail() throws Exception {
+        try (var proxy = new Fixture(watcher(ListKind.CACHED, 3_400), c -> c.replace("on_request", "pushed"))) {
+            for (int i = 0; i < 5; i++) {
+                proxy.discovery.accept().read();
+            }
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, false)));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
+            Event next = Peer.next(proxy.events);
+            assertThat(next).isEqualTo(new Members(ListKind.DELTA, List.of()));
+        }
+    }
+
     /** An agent of the proxy's own machine answers at once, and costs nothing: neither its silence nor a wait is long. */
     @Test
     void anAgentIsAskedOftenAndAnewWhenItIsSilent() throws Exception {
