Ask for the whole list where the changes told do not follow on this proxy's list

Changes were taken in whatever version they led to: older ones after a restart of discovery, whose versions may begin again, and changes in answer to a call for the whole list, as after a move. What they left out was then missing until the next whole list. Such an answer is now a failed call, with a log line; the list in force stays, and the next call asks for the whole list. A negative version makes an answer no list.

A whole list that comes at once and brings no newer version is no news any more: the next call follows after 50 ms, not as fast as the CPU allows.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -155,10 +155,17 @@
 
     @Override
     public void answered(DiscoveryCall answered, EndpointList list) {
+        if (!answered.query().isAnsweredBy(list)) {
+            // Discovery began anew, or something is missing in between: only the whole list is sure.
+            version = EndpointList.NO_VERSION;
+            failed(answered, "changes up to version " + list.version() + " do not follow on this proxy's list");
+            return;
+        }
+        boolean news = list.version() != version && !list.endpoints().isEmpty();
         version = list.version();
         if (!watching) {
             call = null;
-        } else if (answered.query().holdMs() == 0 || !list.endpoints().isEmpty()) {
+        } else if (answered.query().holdMs() == 0 || news) {
             // Before the news is taken in: a watch is over 200 ms after its last answer.
             continueWatch(answered);
         } else {
--- a/src/main/java/beechfall/proxy/DiscoveryCall.java
+++ b/src/main/java/beechfall/proxy/DiscoveryCall.java
@@ -51,6 +51,11 @@
             return from < 0;
         }
 
+        /** Returns whether a list can be taken in: changes have to follow on the version that was asked from. */
+        boolean isAnsweredBy(EndpointList list) {
+            return list.full() || (!asksForWholeList() && list.version() >= from);
+        }
+
         private String uri() {
             return asksForWholeList() ? PATH : PATH + "?from=" + from + "&hold_ms=" + holdMs;
         }
--- a/src/main/java/beechfall/proxy/EndpointList.java
+++ b/src/main/java/beechfall/proxy/EndpointList.java
@@ -49,14 +49,15 @@
         } catch (IOException e) {
             throw new MalformedListException("the answer is not JSON");
         }
-        boolean sound = list.path("version").canConvertToLong()
+        JsonNode version = list.path("version");
+        boolean sound = version.canConvertToLong()
+                && version.asLong() >= 0
                 && list.path("full").isBoolean()
                 && list.path("servers").isArray();
         if (!sound) {
             throw new MalformedListException("the answer is no list");
         }
-        return new EndpointList(
-                list.path("version").asLong(), list.path("full").asBoolean(), endpoints(list.path("servers"), log));
+        return new EndpointList(version.asLong(), list.path("full").asBoolean(), endpoints(list.path("servers"), log));
     }
 
     /** Takes over the list that a proxy had in its last life, where there is one. */
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -78,9 +78,14 @@
         }
     }
 
-    /** One that doesn't wait and has no news is asked again within the 200 ms of a watch, but not in a tight loop. */
-    @Test
-    void doesNotSpinOnADiscoveryThatDoesNotWait() throws Exception {
+    /**
+     * One that doesn't wait and has no news, or tells its whole list again, is asked again within the 200 ms of a watch,
+     * but not in a tight loop.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doesNotSpinOnADiscoveryThatDoesNotWait(boolean full) throws Exception {
+        String[] entries = full ? new String[] {Fixture.entry("s7", "127.0.0.1:1", "ready")} : new String[0];
         try (var proxy = new Fixture(watcher())) {
             Wire first = proxy.discovery.accept();
             first.read();
@@ -88,7 +93,7 @@
             Wire second = proxy.discovery.accept();
             second.read();
             long answered = System.nanoTime();
-            second.send(Peer.ok(Fixture.list(41, false)));
+            second.send(Peer.ok(Fixture.list(41, full, entries)));
             proxy.discovery.accept().read();
             assertThat(System.nanoTime() - answered).isGreaterThan(40_000_000);
         }
@@ -105,7 +110,8 @@
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
                 "rubbish\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-                "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}"
+                "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}",
+                "HTTP/1.1 200 OK\r\nContent-Length: 39\r\n\r\n{\"version\":-1,\"full\":true,\"servers\":[]}"
             })
     void tellsOfAFailedCall(String answer) throws Exception {
         try (var proxy = new Fixture(watcher())) {
@@ -277,6 +283,25 @@
         }
     }
 
+    /** After a restart versions may begin again: then changes say nothing of what this proxy has, a whole list does. */
+    @Test
+    void asksForTheWholeListWhereChangesDoNotFollowOnItsOwn() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            Wire watch = proxy.list();
+            watch.send(Peer.ok(Fixture.list(7, false, Fixture.entry("s7", "127.0.0.1:1", "ready"))));
+            Wire whole = proxy.discovery.accept();
+            assertThat(whole.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            whole.send(Peer.ok(Fixture.list(8, false, Fixture.entry("s7", "127.0.0.1:1", "ready"))));
+            whole = proxy.discovery.accept();
+            assertThat(whole.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            whole.send(Peer.ok(Fixture.list(8, true, Fixture.entry("s8", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.discovery.accept().read().first()).contains("?from=8&");
+            assertThat(proxy.events)
+                    .extracting(e -> ((Members) e).kind())
+                    .containsExactly(ListKind.CACHED, ListKind.DELTA, ListKind.FAILED, ListKind.FAILED, ListKind.FULL);
+        }
+    }
+
     /** One entry that makes no sense must not cost the others. */
     @Test
     void leavesMalformedEntriesOut() throws Exception {
