Count a call to discovery without a descriptor as failed, not as out for ever

Where no channel can be made, Netty hands back one without an event loop, and tells of the failure on another thread. Closing it threw, so nobody heard that the call was over: it stood as the watch's call and no other was made until the process ended or discovery moved. The failure is now handled on the event loop, and only a channel that is open is closed.

DiscoveryTest.aCallForWhichThereIsNoDescriptorIsMadeAgain, which waits in vain on the code before; `mvn verify` passes.

--- a/src/main/java/beechfall/proxy/DiscoveryCall.java
+++ b/src/main/java/beechfall/proxy/DiscoveryCall.java
@@ -105,7 +105,8 @@
         channel = connect.channel();
         connect.addListener(f -> {
             if (!f.isSuccess()) {
-                fail("no connection");
+                // Where no channel could be made, as descriptors have run out, this is another thread.
+                transport.loop().execute(() -> fail("no connection"));
             }
         });
     }
@@ -114,7 +115,10 @@
     void cancel() {
         ended = true;
         timer.cancel(false);
-        channel.close();
+        // One that could not be made has no event loop to be closed on.
+        if (channel.isOpen()) {
+            channel.close();
+        }
     }
 
     private void timeOutIn(long delayMs) {
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -12,11 +12,17 @@
 import beechfall.Balancer.SetTimer;
 import beechfall.Balancer.State;
 import beechfall.Balancer.Watch;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -302,6 +308,35 @@
         }
     }
 
+    /** Where no descriptor is left for a call it has failed like any other, and is made again. */
+    @Test
+    void aCallForWhichThereIsNoDescriptorIsMadeAgain() throws Exception {
+        Transport sockets = Transport.sockets();
+        var failures = new AtomicInteger(1);
+        ChannelFactory<Channel> limited = () -> {
+            if (failures.getAndDecrement() > 0) {
+                throw new ChannelException("no descriptor is left");
+            }
+            return new NioSocketChannel();
+        };
+        var transport = new Transport(
+                sockets.loop(),
+                sockets.server(),
+                new Bootstrap().group(sockets.loop()).channelFactory(limited),
+                sockets.addresses(),
+                sockets.silent());
+        try (var discovery = new Peer()) {
+            Config config = Config.parse(Fixture.json(Fixture.config(discovery.address())));
+            var serve = new Serve(config, (now, event, actions) -> watcher().handle(event, actions), transport);
+            try {
+                serve.start();
+                assertThat(discovery.accept().read().first()).contains("?from=41&");
+            } finally {
+                serve.stop();
+            }
+        }
+    }
+
     /** One entry that makes no sense must not cost the others. */
     @Test
     void leavesMalformedEntriesOut() throws Exception {
