--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -2,19 +2,27 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import beechfall.Balancer.Arrival;
 import beechfall.Balancer.Backend;
 import beechfall.Balancer.Event;
 import beechfall.Balancer.Fetch;
 import beechfall.Balancer.ListKind;
 import beechfall.Balancer.Members;
+import beechfall.Balancer.Refuse;
 import beechfall.Balancer.SetTimer;
 import beechfall.Balancer.State;
 import beechfall.Balancer.Watch;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -76,9 +84,14 @@
         }
     }
 
-    /** One that doesn't wait and has no news is asked again within the 200 ms of a watch, but not in a tight loop. */
-    @Test
-    void doesNotSpinOnADiscoveryThatDoesNotWait() throws Exception {
+    /**
+     * One that doesn't wait and has no news, or tells its whole list again, is asked again within the 200 ms of a watch,
+     * but not in a tight loop.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doesNotSpinOnADiscoveryThatDoesNotWait(boolean full) throws Exception {
+        String[] entries = full ? new String[] {Fixture.entry("s7", "127.0.0.1:1", "ready")} : new String[0];
         try (var proxy = new Fixture(watcher())) {
             Wire first = proxy.discovery.accept();
             first.read();
@@ -86,7 +99,7 @@
             Wire second = proxy.discovery.accept();
             second.read();
             long answered = System.nanoTime();
-            second.send(Peer.ok(Fixture.list(41, false)));
+            second.send(Peer.ok(Fixture.list(41, full, entries)));
             proxy.discovery.accept().read();
             assertThat(System.nanoTime() - answered).isGreaterThan(40_000_000);
         }
@@ -103,7 +116,8 @@
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
                 "rubbish\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-                "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}"
+                "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}",
+                "HTTP/1.1 200 OK\r\nContent-Length: 39\r\n\r\n{\"version\":-1,\"full\":true,\"servers\":[]}"
             })
     void tellsOfAFailedCall(String answer) throws Exception {
         try (var proxy = new Fixture(watcher())) {
@@ -160,6 +174,54 @@
         }
     }
 
+    private static final String STALLED_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{";
+
+    /** A call that doesn't wait is over 1.2 s after it began, whether its answer doesn't come or stops half way. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", STALLED_ANSWER})
+    void aCallThatDoesNotWaitFailsSoon(String answer) throws Exception {
+        try (var proxy = new Fixture(watcher(ListKind.FAILED, 1_700))) {
+            proxy.discovery.accept().close();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(answer);
+            Event next = Peer.next(proxy.events);
+            assertThat(next).isEqualTo(new Members(ListKind.FAILED, List.of()));
+        }
+    }
+
+    /** One that may wait, here for 15 s at least, is over soon after its answer has begun: what it told is lost else. */
+    @Test
+    void anAnswerThatStopsHalfWayIsNotWaitedForAsLongAsItMightHaveWaited() throws Exception {
+        try (var proxy =
+                new Fixture(watcher(ListKind.DELTA, 6_000), c -> c.replace("\"balancers\":2", "\"balancers\":100"))) {
+            Wire watch = proxy.list();
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.DELTA);
+            watch.send(STALLED_ANSWER);
+            Event next = Peer.next(proxy.events);
+            assertThat(next).isEqualTo(new Members(ListKind.FAILED, List.of()));
+        }
+    }
+
+    /** What an agent has counts as told at once: two calls that fail and their delays take 1 s, the first 0.15 s more. */
+    @Test
+    void anAgentIsAskedAnewInTimeThoughCallsFail() throws Exception {
+        try (var proxy = new Fixture(watcher(ListKind.CACHED, 3_400), c -> c.replace("on_request", "pushed"))) {
+            for (int i = 0; i < 5; i++) {
+                proxy.discovery.accept().read();
+            }
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, false)));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.CACHED);
+            Event next = Peer.next(proxy.events);
+            assertThat(next).isEqualTo(new Members(ListKind.DELTA, List.of()));
+        }
+    }
+
     /** An agent of the proxy's own machine answers at once, and costs nothing: neither its silence nor a wait is long. */
     @Test
     void anAgentIsAskedOftenAndAnewWhenItIsSilent() throws Exception {
@@ -227,6 +289,54 @@
         }
     }
 
+    /** After a restart versions may begin again: then changes say nothing of what this proxy has, a whole list does. */
+    @Test
+    void asksForTheWholeListWhereChangesDoNotFollowOnItsOwn() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            Wire watch = proxy.list();
+            watch.send(Peer.ok(Fixture.list(7, false, Fixture.entry("s7", "127.0.0.1:1", "ready"))));
+            Wire whole = proxy.discovery.accept();
+            assertThat(whole.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            whole.send(Peer.ok(Fixture.list(8, false, Fixture.entry("s7", "127.0.0.1:1", "ready"))));
+            whole = proxy.discovery.accept();
+            assertThat(whole.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            whole.send(Peer.ok(Fixture.list(8, true, Fixture.entry("s8", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.discovery.accept().read().first()).contains("?from=8&");
+            assertThat(proxy.events)
+                    .extracting(e -> ((Members) e).kind())
+                    .containsExactly(ListKind.CACHED, ListKind.DELTA, ListKind.FAILED, ListKind.FAILED, ListKind.FULL);
+        }
+    }
+
+    /** Where no descriptor is left for a call it has failed like any other, and is made again. */
+    @Test
+    void aCallForWhichThereIsNoDescriptorIsMadeAgain() throws Exception {
+        Transport sockets = Transport.sockets();
+        var failures = new AtomicInteger(1);
+        ChannelFactory<Channel> limited = () -> {
+            if (failures.getAndDecrement() > 0) {
+                throw new ChannelException("no descriptor is left");
+            }
+            return new NioSocketChannel();
+        };
+        var transport = new Transport(
+                sockets.loop(),
+                sockets.server(),
+                new Bootstrap().group(sockets.loop()).channelFactory(limited),
+                sockets.addresses(),
+                sockets.silent());
+        try (var discovery = new Peer()) {
+            Config config = Config.parse(Fixture.json(Fixture.config(discovery.address())));
+            var serve = new Serve(config, (now, event, actions) -> watcher().handle(event, actions), transport);
+            try {
+                serve.start();
+                assertThat(discovery.accept().read().first()).contains("?from=41&");
+            } finally {
+                serve.stop();
+            }
+        }
+    }
+
     /** One entry that makes no sense must not cost the others. */
     @Test
     void leavesMalformedEntriesOut() throws Exception {
@@ -266,6 +376,30 @@
         }
     }
 
+    /** Two calls at once could tell old news after new: the watch goes on from the whole list, and fails with it. */
+    @Test
+    void aWholeListIsNeverAskedForBesideTheWatch() throws Exception {
+        try (var proxy = new Fixture((event, actions) -> {
+                    watcher().handle(event, actions);
+                    if (event instanceof Arrival a) {
+                        actions.accept(new Fetch());
+                        actions.accept(new Refuse(a.id(), 0));
+                    }
+                });
+                var client = proxy.client()) {
+            Wire watch = proxy.list();
+            client.send(Fixture.get("r1")).read();
+            assertThat(watch.ended()).isTrue();
+            try (Wire failing = proxy.discovery.accept()) {
+                assertThat(failing.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            }
+            Wire whole = proxy.discovery.accept();
+            assertThat(whole.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            whole.send(Peer.ok(Fixture.list(45, true)));
+            assertThat(proxy.discovery.accept().read().first()).contains("?from=45&");
+        }
+    }
+
     /** A new configuration: the watch moves at once, asks for the whole list, and the known backends serve meanwhile. */
     @Test
     void movesToTheDiscoveryOfANewConfiguration() throws Exception {
