Let unused budget for a cold backend expire, so that proxies can't save it up together

Cause: `coldBudget` was a token bucket for each backend at each proxy, and the bucket held one whole request at least. Where a proxy's part of the budget in a window is under one request, each proxy could save up one while traffic was thin, and all of them could send theirs in one burst.

Change: what is granted and not used expires, a large part after a third of the window, a small one after a window. The phase of the first request follows from the rank, evenly over any run of ranks, in place of a random one. The estimate of the capacity is as before.

A cold backend thus gets less where proxies are many and their traffic is thin.

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -35,6 +35,10 @@
     private static final double FLOOR = 0.05;
     /** Part of the cold budget that is used: requests differ in size and capacity is a guess. */
     private static final double COLD_MARGIN = 0.4;
+    /** Part of a window's cold budget that may be sent at once; the rest is granted in the course of the window. */
+    private static final double COLD_BURST = 0.25;
+    /** Fraction of the golden ratio: multiples of it, modulo 1, lie evenly for any run of successive ranks. */
+    private static final double GOLDEN_FRACTION = (Math.sqrt(5) - 1) / 2;
     /** Attempts out may take this part of the shortest aim, by the rate of answers; held ones that again. */
     private static final double CROWD = 1 / 5.0;
     /** But never less than this part of the least mean response time, or backends idle and it cannot grow. */
@@ -176,6 +180,50 @@
         }
     }
 
+    /**
+     * The requests that this proxy may send to one cold backend. They are granted in the course of time, and what is
+     * not used soon expires: if it were saved, each of many proxies with a small part of the budget could hold one
+     * request, and all could send theirs in the same burst.
+     */
+    private static final class ColdAllowance {
+        private double granted;
+        private double usedOrExpired;
+        private long grantedAt;
+
+        /**
+         * Starts with nothing granted.
+         *
+         * @param phase the part of the first request, from 0 to 1, that counts as granted; spread evenly over the
+         *     proxies, their sum is near its mean at any time, however small the part of each
+         */
+        ColdAllowance(double phase, long nowUs) {
+            granted = phase;
+            grantedAt = nowUs;
+        }
+
+        /**
+         * Grants what is due since the last call and returns how many whole requests may be sent now. What was granted
+         * and not used expires: a large part of the budget after a third of the window, so that no window holds more
+         * than the whole; a small part after a window, or proxies with little traffic would seldom use any. Then a
+         * window holds up to one and a half times the budget, of which the rule's {@link #COLD_MARGIN} leaves room.
+         *
+         * @param budgetPerUs this proxy's part of the budget, in requests per microsecond
+         * @param windowUs the window over which the rule counts, in microseconds
+         */
+        double available(double budgetPerUs, long windowUs, long nowUs) {
+            granted += (1 - COLD_BURST) * budgetPerUs * (nowUs - grantedAt);
+            grantedAt = nowUs;
+            double budget = budgetPerUs * windowUs;
+            double unexpired = Math.max(COLD_BURST * budget, Math.min(COLD_BURST, (1 - COLD_BURST) * budget));
+            usedOrExpired = Math.max(usedOrExpired, Math.floor(granted - unexpired));
+            return Math.floor(granted) - usedOrExpired;
+        }
+
+        void use() {
+            usedOrExpired += 1;
+        }
+    }
+
     /** A backend that this proxy may send to. */
     private static final class Server {
         private final String id;
@@ -186,14 +234,14 @@
         private double currentTime;
         private double ownUs;
         private double ownSamples;
-        private double coldTokens;
         private final Trust whole = new Trust();
         private final Trust[] flows;
+        private final ColdAllowance coldAllowance;
         private boolean ready;
-        private long coldTokensAt;
 
-        Server(String id, int flows) {
+        Server(String id, int flows, ColdAllowance coldAllowance) {
             this.id = id;
+            this.coldAllowance = coldAllowance;
             this.flows = Stream.generate(Trust::new).limit(flows).toArray(Trust[]::new);
         }
     }
@@ -301,11 +349,8 @@
                     s.ready = false;
                     servers.remove(s);
                 }
-                s = new Server(b.id(), classes.size() * flowsOfClass);
+                s = new Server(b.id(), classes.size() * flowsOfClass, new ColdAllowance(coldPhase(b), now));
                 byId.put(s.id, s);
-                // Of hundreds of proxies each may send it less than one request: so some send theirs.
-                s.coldTokens = random.nextDouble();
-                s.coldTokensAt = now;
             }
             s.listed = b;
             s.near = settings.zone().equals(b.zone()) ? NEAR : 1;
@@ -326,6 +371,13 @@
         refresh();
     }
 
+    /** Returns where in its first request to a cold backend this proxy starts: evenly over the ranks, from 0 to 1. */
+    private double coldPhase(Backend b) {
+        double start = mix(b.id().hashCode() ^ Long.hashCode(b.startedAtUs())) / (double) (1L << Integer.SIZE);
+        double phase = start + settings.rank() * GOLDEN_FRACTION;
+        return phase - Math.floor(phase);
+    }
+
     /** Rule 6: no idle connection is kept to a backend that drains or is gone: nobody has a use for it. */
     private void releaseUnlessReady(Server s) {
         if (!s.ready) {
@@ -362,7 +414,7 @@
     }
 
     /** Returns the part of its capacity that a backend is sure to have: 1 once it is warm. */
-    private double warmth(Server s) {
+    private double warmUpFraction(Server s) {
         long started = s.listed.startedAtUs();
         if (started <= 0 || now - started >= rules.coldUs()) {
             return 1;
@@ -455,13 +507,13 @@
             // Where nearly all look ill, those that are merely slow come before those that fail.
             deadline *= trust ? 1 : failing ? 1e24 : 1e18;
             // Few have a cold backend in their part: it would get nothing of what the rest may send it.
-            boolean open = !trust || left > 0 || warmth(s) < 1;
+            boolean open = !trust || left > 0 || warmUpFraction(s) < 1;
             if (open && deadline < earliest && hasRoom(s) && coldBudget(s) >= 1) {
                 best = s;
                 earliest = deadline;
             }
             boolean sound = s.kind.samples == 0 || responseUs(s) < 4 * s.kind.meanUs;
-            left -= settings.balancers() > PART && trust && sound && warmth(s) >= 1 ? 1 : 0;
+            left -= settings.balancers() > PART && trust && sound && warmUpFraction(s) >= 1 ? 1 : 0;
         }
         // If nearly all look ill, it is this proxy that is cut off, or the load: then all are tried on. But where some
         // answer late and the others fail, those that fail are left alone.
@@ -514,24 +566,19 @@
     }
 
     /**
-     * Rule 4: what a cold backend may still be sent, in requests. A quarter of this proxy's part of the
-     * budget may come at once and the rest in the course of each window: no window holds more than the whole.
-     * The capacity is a guess: what backends of its weight bear by our answers, or one request at a time.
+     * Rule 4: returns how many requests a cold backend may still be sent by this proxy, unlimited once it is warm.
+     * The capacity is a guess: what backends of its weight answer to this proxy, or one request at a time.
      */
     private double coldBudget(Server s) {
-        double warmth = warmth(s);
-        if (warmth >= 1) {
+        double warmUpFraction = warmUpFraction(s);
+        if (warmUpFraction >= 1) {
             return Double.POSITIVE_INFINITY;
         }
         double requestUs =
                 s.kind.samples > 0 ? s.kind.meanUs : settings.classes().get(0).aimUs();
-        double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight * servers.size());
-        double budgetPerUs = COLD_MARGIN * rules.fallMultiple() * warmth * perUs;
-        s.coldTokens = Math.min(
-                Math.max(1, budgetPerUs * rules.fallUs() / 4),
-                s.coldTokens + 0.75 * budgetPerUs * (now - s.coldTokensAt));
-        s.coldTokensAt = now;
-        return s.coldTokens;
+        double capacityPerUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight * servers.size());
+        double budgetPerUs = COLD_MARGIN * rules.fallMultiple() * warmUpFraction * capacityPerUs;
+        return s.coldAllowance.available(budgetPerUs, rules.fallUs(), now);
     }
 
     /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor by their cores. */
@@ -576,7 +623,7 @@
         s.whole.sent(now);
         s.flows[r.flow].sent(now);
         outstanding++;
-        s.coldTokens -= 1;
+        s.coldAllowance.use();
         r.out++;
         // A slow answer is worth waiting for, but not long past its aim: silence takes up the room of others.
         long cutUs = now < r.aimAt ? (long) (LATE * (r.aimAt - now)) : Long.MAX_VALUE;
