Measure the load at a pace of its own, which list changes don't put off

Cause: each list change calls `refresh`, which moves `refreshAt` on, and `arrival` measured the unloaded latency and the throughput of a backend only past `refreshAt`. While the list changed faster than twice the longest aim, both stayed 0 and the admission limit at its floor.

Change: `measureLoad` has its own `measureAt`. `idleUs` and `borne` are now `unloadedLatencyUs` and `backendThroughputPerUs`.

Measured: `aLoneProxyKeepsItsBackendsBusyWhenUnqueuedWorkFillsTheLimit` with a list that changes every second fails without the change and passes with it. `mvn -B verify` passes.

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -92,9 +92,13 @@
     private long spareAt;
     private long wakeAt = Long.MIN_VALUE;
     private double answersPerUs;
-    private double borne;
-    private int refreshes;
-    private double idleUs;
+    private long measureAt = Long.MIN_VALUE;
+    private int measurements;
+    /** Least mean latency of an answer so far, in microseconds; 0 until measured. */
+    private double unloadedLatencyUs;
+    /** Answers of one backend to this proxy, in requests per microsecond, in the mean over all listed. */
+    private double backendThroughputPerUs;
+
     private long answersAt;
     private long now;
     private Consumer<Action> out;
@@ -446,6 +450,28 @@
         order();
     }
 
+    /**
+     * Measures the unloaded latency and the throughput of a backend, once in twice the longest aim. Its pace is not
+     * that of the weights, which each list change starts afresh: in a release nothing would be measured.
+     */
+    private void measureLoad() {
+        if (measureAt == Long.MIN_VALUE) {
+            measureAt = now + refreshUs;
+        }
+        if (now < measureAt) {
+            return;
+        }
+        measureAt = now + refreshUs;
+        measurements++;
+        // The least of the means: a mean under load holds time in queues.
+        double mean = all.samples < KIND_MEMORY / 32 ? 0 : all.meanUs;
+        unloadedLatencyUs = unloadedLatencyUs == 0 ? mean : Math.min(unloadedLatencyUs, mean);
+        // Slowly: the answers of backends that have just left the list tell nothing of those that stay.
+        double throughputPerUs = answerRate() / Math.max(1, servers.size());
+        backendThroughputPerUs +=
+                (throughputPerUs - backendThroughputPerUs) * Math.max(1.0 / measurements, 1 - OWN_KEPT);
+    }
+
     private void learn(Server s, double latencyUs) {
         s.kind.learn(latencyUs);
         s.ownUs += latencyUs;
@@ -464,12 +490,8 @@
         if (type == null) {
             throw new IllegalArgumentException("request of a class not in the settings: " + a.requestClass());
         }
+        measureLoad();
         if (now >= refreshAt) {
-            // Slowly: the answers of backends that have just left the list tell nothing of those that stay.
-            double mean = all.samples < KIND_MEMORY / 32 ? 0 : all.meanUs;
-            idleUs = idleUs == 0 ? mean : Math.min(idleUs, mean);
-            double bears = answerRate() / Math.max(1, servers.size());
-            borne += (bears - borne) * Math.max(1.0 / ++refreshes, 1 - OWN_KEPT);
             refresh();
         }
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_RATE);
@@ -493,7 +515,7 @@
         int balance = 0;
         int standing = 0;
         // Far busier than others, a proxy takes a larger part: a backend for each attempt out in the mean.
-        double left = Math.max(PART * servers.size() / settings.balancers(), answerRate() * idleUs);
+        double left = Math.max(PART * servers.size() / settings.balancers(), answerRate() * unloadedLatencyUs);
         for (Server s : servers) {
             if (!effectAllows(s, r)) {
                 continue;
@@ -576,17 +598,19 @@
         }
         double requestUs =
                 s.kind.samples > 0 ? s.kind.meanUs : settings.classes().get(0).aimUs();
-        double capacityPerUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight * servers.size());
+        double capacityPerUs =
+                Math.max(1 / (requestUs * settings.balancers()), backendThroughputPerUs * s.weight * servers.size());
         double budgetPerUs = COLD_MARGIN * rules.fallMultiple() * warmUpFraction * capacityPerUs;
         return s.coldAllowance.available(budgetPerUs, rules.fallUs(), now);
     }
 
     /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor by their cores. */
     private double crowd() {
-        double byRate = answerRate() * Math.max(crowdUs, BUSY * idleUs);
+        double byRate = answerRate() * Math.max(crowdUs, BUSY * unloadedLatencyUs);
         // With less than a backend to itself, a proxy tells a crowd from bad luck by how much it refuses.
         double share = servers.size() / (double) settings.balancers();
-        double cores = Math.min(CROWD_FLOOR, Math.max(1, borne * settings.balancers() * idleUs));
+        double cores =
+                Math.min(CROWD_FLOOR, Math.max(1, backendThroughputPerUs * settings.balancers() * unloadedLatencyUs));
         return Math.max(byRate, share * (CROWD_FLOOR + (share < 1 ? cores * (1 - refused) - refused : 0)));
     }
 
--- a/src/test/java/beechfall/CrowdTest.java
+++ b/src/test/java/beechfall/CrowdTest.java
@@ -17,6 +17,8 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What happens when more comes than the backends can do. */
 class CrowdTest {
@@ -134,8 +136,10 @@
         assertThat(refused).isLessThan(100);
     }
 
-    @Test
-    void aLoneProxyKeepsItsBackendsBusyWhenUnqueuedWorkFillsTheLimit() {
+    /** Also while the list changes each second, as in a release: faster than the weights are set. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aLoneProxyKeepsItsBackendsBusyWhenUnqueuedWorkFillsTheLimit(boolean listChangesEachSecond) {
         // One of three, the others gone. An answer takes 200 ms without a queue, more than a fifth of the shortest aim.
         var p = new Proxy(
                 new Balancer.Settings(3, 0, "a", MS, List.of(READ, Proxy.PAY), List.of(), 1, false, LIMITS, RULES, 1));
@@ -146,6 +150,10 @@
         int inLastSecond = 0;
         for (int step = 0; step < 3000; step++) {
             p.now += 20 * MS;
+            if (listChangesEachSecond && step % 50 == 0) {
+                var gone = Proxy.in(Balancer.State.GONE, "other" + step);
+                p.feed(new Balancer.Members(Balancer.ListKind.DELTA, List.of(gone)));
+            }
             p.arrive(READ);
             for (; seen < p.actions.size(); seen++) {
                 if (p.actions.get(seen) instanceof Send s) {
