Name the parts of admission and of backend health by standard terms

Cause: names such as `crowd`, `room`, `Trust`, `struck`, `home` and `near` needed explaining. Change: names and comments alone: `admissionLimit`, `attemptLimit`, `HealthRecord`, `lastWasError`, `warmServer`, `zonePreference`, backoff and latency budget, with units. No decision changes.

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -25,12 +25,12 @@
     private static final double OWN_PRIOR = 4;
 
     private static final double OWN_KEPT = 0.8;
-    /** A backend that is likely warm for a request's key counts as this many times its weight. */
-    private static final double WARM = 4;
+    /** The backend that is likely warm for a request's key counts as this many times its weight. */
+    private static final double WARM_KEY_PREFERENCE = 4;
     /** A backend in the proxy's own zone counts as this many times its weight. */
-    private static final double NEAR = 4;
+    private static final double OWN_ZONE_PREFERENCE = 4;
     /** So many proxies share a backend, if there are no more proxies than backends. */
-    private static final double PART = 3;
+    private static final double PROXIES_PER_BACKEND = 3;
     /** A backend's c is never less than this part of the largest. */
     private static final double FLOOR = 0.05;
     /** Part of the cold budget that is used: requests differ in size and capacity is a guess. */
@@ -39,24 +39,24 @@
     private static final double COLD_BURST = 0.25;
     /** Fraction of the golden ratio: multiples of it, modulo 1, lie evenly for any run of successive ranks. */
     private static final double GOLDEN_FRACTION = (Math.sqrt(5) - 1) / 2;
-    /** Attempts out may take this part of the shortest aim, by the rate of answers; held ones that again. */
-    private static final double CROWD = 1 / 5.0;
-    /** But never less than this part of the least mean response time, or backends idle and it cannot grow. */
-    private static final double BUSY = 1.2;
-    /** An attempt out for this many times the mean of answers hangs, or is one of a costly few: it is no part of a crowd. */
-    private static final double STUCK = 8;
-    /** But not where time-outs are more than this part of the outcomes: then it is the load that holds them up. */
-    private static final double FEW_TIMEOUTS = 0.08;
-    /** Attempts out for each backend, by all proxies, that are never too many; under 3 it is a mean. */
-    private static final double CROWD_FLOOR = 3;
+    /** Attempts in flight may take this part of the shortest aim, by the rate of answers; queued ones that again. */
+    private static final double LATENCY_BUDGET_SHARE = 1 / 5.0;
+    /** But never less than this multiple of the unloaded latency, or backends idle and the limit can't grow. */
+    private static final double LATENCY_HEADROOM = 1.2;
+    /** An attempt in flight for this many times the mean of answers hangs, or is one of a costly few: it does not count. */
+    private static final double HUNG_LATENCY_MULTIPLE = 8;
+    /** But it counts where time-outs are more than this part of the outcomes: then it is the load that holds them up. */
+    private static final double HUNG_MAX_TIMEOUT_SHARE = 0.08;
+    /** Attempts in flight at each backend, from all proxies, that are never too many; under 3 it is a mean. */
+    private static final double MIN_ATTEMPTS_PER_BACKEND = 3;
     /** Further attempts allowed for each request, and how many may be saved up. */
     private static final double RETRY_RATE = 0.2;
 
     private static final double RETRY_BURST = 10;
     /** An attempt is cut off after this multiple of the time to its aim: sooner, its work goes on unseen. */
     private static final double LATE = 2;
-    /** A flow that keeps failing at a backend is put off for at most so many refreshes. */
-    private static final int PAUSES = 8;
+    /** The longest backoff of a flow that keeps failing at a backend, in refresh periods. */
+    private static final int MAX_BACKOFF_PERIODS = 8;
 
     /** Errors are common when they are more than this part of the attempts, in the mean of so many; time-outs alike. */
     private static final double COMMON = 0.015;
@@ -82,14 +82,19 @@
     private int failedAsks;
     private int outstanding;
     private final Set<Attempt> inOrder = new LinkedHashSet<>();
-    private final long crowdUs;
+    /** How long an answer may take at the limit, in microseconds. */
+    private final long latencyBudgetUs;
+
     private final List<Request> held = new ArrayList<>();
-    private double room;
-    private double spare;
+    /** Attempts that may be in flight, as of the event in hand. */
+    private double attemptLimit;
+    /** The limit that was left unused, as attempts times microseconds; below 0 where it was overdrawn. */
+    private double unusedLimitUs;
+
     private double refused;
     private double errorShare;
     private double timeoutShare;
-    private long spareAt;
+    private long unusedLimitAt;
     private long wakeAt = Long.MIN_VALUE;
     private double answersPerUs;
     private long measureAt = Long.MIN_VALUE;
@@ -112,7 +117,7 @@
         settings.tenants().forEach(t -> quotas.put(t.name(), new Quota(t, settings, quotas.size())));
         this.flowsOfClass = 1 + quotas.size();
         var aims = settings.classes().stream().mapToLong(RequestClass::aimUs).summaryStatistics();
-        this.crowdUs = (long) (CROWD * aims.getMin());
+        this.latencyBudgetUs = (long) (LATENCY_BUDGET_SHARE * aims.getMin());
         this.refreshUs = 2 * aims.getMax();
     }
 
@@ -140,46 +145,46 @@
         }
     }
 
-    /** What was seen of a backend as a whole, or of one flow there: the requests of a class and tenant. */
-    private static final class Trust {
+    /** The health of a backend as a whole, or of one flow there: the requests of a class and tenant. */
+    private static final class HealthRecord {
         private int out;
-        private long heardAt;
-        private long pauseUs;
-        private long tryAt = Long.MIN_VALUE;
-        private boolean struck;
+        private long lastHeardAt;
+        private long backoffUs;
+        private long backoffUntil = Long.MIN_VALUE;
+        private boolean lastWasError;
 
         /** Where errors are common at all backends, one is bad luck: only the next in a row tells of the backend. */
-        boolean badLuck(boolean error) {
-            boolean first = error && !struck && pauseUs == 0;
-            struck = error;
+        boolean isIsolatedError(boolean error) {
+            boolean first = error && !lastWasError && backoffUs == 0;
+            lastWasError = error;
             return first;
         }
 
-        boolean putOff(long now) {
-            return now < tryAt;
+        boolean inBackoff(long now) {
+            return now < backoffUntil;
         }
 
-        /** Not put off, nor silent for too long; after a pause one attempt at a time until one goes well. */
-        boolean holds(long now, long silenceUs) {
-            return !putOff(now) && (out == 0 || (pauseUs == 0 && now - heardAt < silenceUs));
+        /** Not in backoff, nor silent for too long; after a backoff one attempt at a time until one succeeds. */
+        boolean mayReceive(long now, long silenceUs) {
+            return !inBackoff(now) && (out == 0 || (backoffUs == 0 && now - lastHeardAt < silenceUs));
         }
 
         void sent(long now) {
-            heardAt = out++ == 0 ? now : heardAt;
+            lastHeardAt = out++ == 0 ? now : lastHeardAt;
         }
 
         void ended(long now, boolean heard) {
             out--;
-            heardAt = heard ? now : heardAt;
+            lastHeardAt = heard ? now : lastHeardAt;
         }
 
-        /** A failure brings the least pause; each that follows a pause doubles it, each answer halves it. */
-        void judge(boolean good, long now, long leastUs) {
-            if (now >= tryAt) {
-                pauseUs = good
-                        ? (pauseUs > leastUs ? pauseUs / 2 : 0)
-                        : Math.min(Math.max(2 * pauseUs, leastUs), PAUSES * leastUs);
-                tryAt = good ? tryAt : now + pauseUs;
+        /** A failure starts a backoff of one period; each that follows doubles it, each answer halves it. */
+        void record(boolean good, long now, long periodUs) {
+            if (now >= backoffUntil) {
+                backoffUs = good
+                        ? (backoffUs > periodUs ? backoffUs / 2 : 0)
+                        : Math.min(Math.max(2 * backoffUs, periodUs), MAX_BACKOFF_PERIODS * periodUs);
+                backoffUntil = good ? backoffUntil : now + backoffUs;
             }
         }
     }
@@ -234,19 +239,19 @@
         private Backend listed;
         private Kind kind;
         private double weight;
-        private double near;
+        private double zonePreference;
         private double currentTime;
         private double ownUs;
         private double ownSamples;
-        private final Trust whole = new Trust();
-        private final Trust[] flows;
+        private final HealthRecord health = new HealthRecord();
+        private final HealthRecord[] flowHealth;
         private final ColdAllowance coldAllowance;
         private boolean ready;
 
         Server(String id, int flows, ColdAllowance coldAllowance) {
             this.id = id;
             this.coldAllowance = coldAllowance;
-            this.flows = Stream.generate(Trust::new).limit(flows).toArray(Trust[]::new);
+            this.flowHealth = Stream.generate(HealthRecord::new).limit(flows).toArray(HealthRecord[]::new);
         }
     }
 
@@ -263,8 +268,8 @@
         private int out;
         private boolean over;
         private long giveUpAt;
-        private double cheaper;
-        private Server home;
+        private double cheaperShare;
+        private Server warmServer;
 
         Request(String id, RequestClass type, int flow, String key, double worth, long began, long deadline) {
             this.id = id;
@@ -300,10 +305,11 @@
     @Override
     public void handle(long nowUs, Event event, Consumer<Action> actions) {
         now = nowUs;
-        room = crowd();
+        attemptLimit = admissionLimit();
         // One of hundreds of proxies may have less than one attempt out: in the mean of a time.
-        spare = Math.min(room * refreshUs, spare + (room - crowding()) * (now - spareAt));
-        spareAt = now;
+        unusedLimitUs = Math.min(
+                attemptLimit * refreshUs, unusedLimitUs + (attemptLimit - countedAttempts()) * (now - unusedLimitAt));
+        unusedLimitAt = now;
         out = actions;
         if (askAt == Long.MIN_VALUE) {
             ask();
@@ -357,7 +363,7 @@
                 byId.put(s.id, s);
             }
             s.listed = b;
-            s.near = settings.zone().equals(b.zone()) ? NEAR : 1;
+            s.zonePreference = settings.zone().equals(b.zone()) ? OWN_ZONE_PREFERENCE : 1;
             s.kind = kinds.computeIfAbsent(String.valueOf(b.kind()), name -> new Kind());
             s.ready = b.state() == State.READY;
             servers.remove(s);
@@ -407,14 +413,14 @@
     }
 
     /** Guards against backends hung, dead, slow or ill for some requests only, whatever the cause. */
-    private boolean trusted(Server s, Request r) {
-        long silenceUs = (long) Math.max(2 * crowdUs, s.kind.meanUs);
-        return s.whole.holds(now, silenceUs) && s.flows[r.flow].holds(now, silenceUs);
+    private boolean isHealthy(Server s, Request r) {
+        long silenceUs = (long) Math.max(2 * latencyBudgetUs, s.kind.meanUs);
+        return s.health.mayReceive(now, silenceUs) && s.flowHealth[r.flow].mayReceive(now, silenceUs);
     }
 
     /** Returns whether a failure has shown that a backend is ill, for all requests or for those of this flow. */
-    private boolean putOff(Server s, Request r) {
-        return s.whole.putOff(now) || s.flows[r.flow].putOff(now);
+    private boolean inBackoff(Server s, Request r) {
+        return s.health.inBackoff(now) || s.flowHealth[r.flow].inBackoff(now);
     }
 
     /** Returns the part of its capacity that a backend is sure to have: 1 once it is warm. */
@@ -515,35 +521,37 @@
         int balance = 0;
         int standing = 0;
         // Far busier than others, a proxy takes a larger part: a backend for each attempt out in the mean.
-        double left = Math.max(PART * servers.size() / settings.balancers(), answerRate() * unloadedLatencyUs);
+        double left =
+                Math.max(PROXIES_PER_BACKEND * servers.size() / settings.balancers(), answerRate() * unloadedLatencyUs);
         for (Server s : servers) {
             if (!effectAllows(s, r)) {
                 continue;
             }
-            boolean trust = trusted(s, r);
-            boolean failing = putOff(s, r);
+            boolean trust = isHealthy(s, r);
+            boolean failing = inBackoff(s, r);
             balance += trust ? 3 : -1;
             standing += failing ? -1 : 3;
-            double deadline = (s.currentTime + 1) / (s.weight * s.near * (s == r.home ? WARM : 1));
+            double deadline =
+                    (s.currentTime + 1) / (s.weight * s.zonePreference * (s == r.warmServer ? WARM_KEY_PREFERENCE : 1));
             deadline *= r.attempts.isEmpty() || r.attempts.stream().noneMatch(a -> a.server == s) ? 1 : 1e6;
             // Where nearly all look ill, those that are merely slow come before those that fail.
             deadline *= trust ? 1 : failing ? 1e24 : 1e18;
             // Few have a cold backend in their part: it would get nothing of what the rest may send it.
             boolean open = !trust || left > 0 || warmUpFraction(s) < 1;
-            if (open && deadline < earliest && hasRoom(s) && coldBudget(s) >= 1) {
+            if (open && deadline < earliest && isBelowItsShare(s) && coldBudget(s) >= 1) {
                 best = s;
                 earliest = deadline;
             }
             boolean sound = s.kind.samples == 0 || responseUs(s) < 4 * s.kind.meanUs;
-            left -= settings.balancers() > PART && trust && sound && warmUpFraction(s) >= 1 ? 1 : 0;
+            left -= settings.balancers() > PROXIES_PER_BACKEND && trust && sound && warmUpFraction(s) >= 1 ? 1 : 0;
         }
         // If nearly all look ill, it is this proxy that is cut off, or the load: then all are tried on. But where some
         // answer late and the others fail, those that fail are left alone.
-        return best == null || (putOff(best, r) ? standing : balance) < 0 || trusted(best, r) ? best : null;
+        return best == null || (inBackoff(best, r) ? standing : balance) < 0 || isHealthy(best, r) ? best : null;
     }
 
-    /** The backend where a key is likely to be warm: all proxies find the same one, by rendezvous hashing. */
-    private Server home(String key) {
+    /** Returns the backend that is likely warm for a key: all proxies find the same one, by rendezvous hashing. */
+    private Server warmServer(String key) {
         return servers.stream()
                 .max(Comparator.comparingInt(s -> mix(key.hashCode() ^ s.id.hashCode())))
                 .orElse(null);
@@ -559,8 +567,8 @@
      * A backend may have its weight's share of all attempts out, at least 1. Counters see sends alone; this
      * sees a backend that answers late or not at all, whatever the cause.
      */
-    private boolean hasRoom(Server s) {
-        return s.whole.out < Math.max(1, Math.ceil(s.weight * (outstanding + 1)));
+    private boolean isBelowItsShare(Server s) {
+        return s.health.out < Math.max(1, Math.ceil(s.weight * (outstanding + 1)));
     }
 
     /** Rule 2: a request that may have run goes only where its class lets it run again, and in time to begin there. */
@@ -604,48 +612,52 @@
         return s.coldAllowance.available(budgetPerUs, rules.fallUs(), now);
     }
 
-    /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor by their cores. */
-    private double crowd() {
-        double byRate = answerRate() * Math.max(crowdUs, BUSY * unloadedLatencyUs);
-        // With less than a backend to itself, a proxy tells a crowd from bad luck by how much it refuses.
+    /**
+     * Returns how many attempts may be in flight: what is answered within the latency budget, what keeps backends
+     * busy, or a floor by their cores. Part of an attempt counts in the mean of a time.
+     */
+    private double admissionLimit() {
+        double byRate = answerRate() * Math.max(latencyBudgetUs, LATENCY_HEADROOM * unloadedLatencyUs);
+        // With less than a backend to itself, a proxy tells overload from chance by how much it refuses.
         double share = servers.size() / (double) settings.balancers();
-        double cores =
-                Math.min(CROWD_FLOOR, Math.max(1, backendThroughputPerUs * settings.balancers() * unloadedLatencyUs));
-        return Math.max(byRate, share * (CROWD_FLOOR + (share < 1 ? cores * (1 - refused) - refused : 0)));
+        double cores = Math.min(
+                MIN_ATTEMPTS_PER_BACKEND,
+                Math.max(1, backendThroughputPerUs * settings.balancers() * unloadedLatencyUs));
+        return Math.max(byRate, share * (MIN_ATTEMPTS_PER_BACKEND + (share < 1 ? cores * (1 - refused) - refused : 0)));
     }
 
-    /** The attempts out, but for those that are stuck: these would keep the others from backends that have room. */
-    private int crowding() {
-        if (all.samples < KIND_MEMORY / 32 || timeoutShare > FEW_TIMEOUTS) {
+    /** Attempts in flight that count against the limit: not hung ones, which would keep others from free backends. */
+    private int countedAttempts() {
+        if (all.samples < KIND_MEMORY / 32 || timeoutShare > HUNG_MAX_TIMEOUT_SHARE) {
             return outstanding;
         }
-        double stuckUs = Math.max(crowdUs, STUCK * all.meanUs);
-        int stuck = 0;
+        double hungUs = Math.max(latencyBudgetUs, HUNG_LATENCY_MULTIPLE * all.meanUs);
+        int hung = 0;
         for (Attempt a : inOrder) {
-            if (now - a.sentAt < stuckUs) {
+            if (now - a.sentAt < hungUs) {
                 break;
             }
-            stuck++;
+            hung++;
         }
-        return outstanding - stuck;
+        return outstanding - hung;
     }
 
     private double answerRate() {
         return answersPerUs * Math.exp((answersAt - now) / (double) refreshUs);
     }
 
-    /** Whether one more may be out: the limit's whole part always, the rest as it was left unused. */
-    private boolean mayGo(Request r) {
+    /** Whether one more may be in flight: the limit's whole part always, the rest as it was left unused. */
+    private boolean mayAdmit(Request r) {
         // Dearer ones may overdraw: a proxy of hundreds never holds enough requests to order them by worth.
-        int crowding = crowding();
-        return crowding < Math.max(room, CROWD_FLOOR)
-                && (crowding + 1 <= room || spare >= -r.cheaper * room * refreshUs);
+        int countedAttempts = countedAttempts();
+        return countedAttempts < Math.max(attemptLimit, MIN_ATTEMPTS_PER_BACKEND)
+                && (countedAttempts + 1 <= attemptLimit || unusedLimitUs >= -r.cheaperShare * attemptLimit * refreshUs);
     }
 
     private void send(Request r, Server s) {
         s.currentTime += 1;
-        s.whole.sent(now);
-        s.flows[r.flow].sent(now);
+        s.health.sent(now);
+        s.flowHealth[r.flow].sent(now);
         outstanding++;
         s.coldAllowance.use();
         r.out++;
@@ -667,8 +679,8 @@
         Attempt a = r.attempts.get(e.attempt());
         a.outcome = e.outcome();
         boolean heard = e.outcome() != Outcome.TIMEOUT && e.outcome() != Outcome.CANCELLED;
-        a.server.whole.ended(now, heard);
-        a.server.flows[r.flow].ended(now, heard);
+        a.server.health.ended(now, heard);
+        a.server.flowHealth[r.flow].ended(now, heard);
         outstanding--;
         inOrder.remove(a);
         r.out--;
@@ -681,10 +693,10 @@
             errorShare += ((error ? 1 : 0) - errorShare) / ERROR_MEMORY;
             boolean common = errorShare > COMMON;
             timeoutShare += ((e.outcome() == Outcome.TIMEOUT ? 1 : 0) - timeoutShare) / ERROR_MEMORY;
-            boolean lostByLuck = a.server.whole.badLuck(lost) && common;
-            boolean luck = a.server.flows[r.flow].badLuck(error) && common;
-            a.server.whole.judge(!lost || lostByLuck, now, refreshUs);
-            a.server.flows[r.flow].judge(ok || luck, now, refreshUs);
+            boolean lostByLuck = a.server.health.isIsolatedError(lost) && common;
+            boolean luck = a.server.flowHealth[r.flow].isIsolatedError(error) && common;
+            a.server.health.record(!lost || lostByLuck, now, refreshUs);
+            a.server.flowHealth[r.flow].record(ok || luck, now, refreshUs);
             learn(a.server, ok ? e.latencyUs() : e.outcome() == Outcome.ERROR ? r.type.aimUs() : a.timeoutUs);
         }
         if (ok) {
@@ -749,11 +761,11 @@
 
     /** Queues a request, to be sent in this round if there is room: highest worth, then earliest aim. */
     private void hold(Request r) {
-        // Sent at the last moment, it is to be answered in time: twice a crowd's time ahead.
-        r.giveUpAt = Math.min(r.aimAt - 2 * crowdUs, r.deadline - 2 * settings.tickUs());
-        r.cheaper =
+        // Sent at the last moment, it is to be answered in time: twice the latency budget ahead.
+        r.giveUpAt = Math.min(r.aimAt - 2 * latencyBudgetUs, r.deadline - 2 * settings.tickUs());
+        r.cheaperShare =
                 1.0 * classes.values().stream().filter(c -> c.worth() < r.worth).count() / classes.size();
-        r.home = r.key == null ? null : home(r.key);
+        r.warmServer = r.key == null ? null : warmServer(r.key);
         int i = held.size();
         while (i > 0 && r.outranks(held.get(i - 1))) {
             i--;
@@ -766,19 +778,19 @@
         if (held.isEmpty()) {
             return;
         }
-        // A key away from its home costs its full work: in a crowd, the very room that is missing.
-        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && mayGo(held.get(i)); ) {
+        // A key away from its warm backend costs its full work: under overload, the very capacity that is missing.
+        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && mayAdmit(held.get(i)); ) {
             Request r = held.get(i);
-            if (r.home != null && pick(r) == r.home) {
+            if (r.warmServer != null && pick(r) == r.warmServer) {
                 held.remove(i);
-                send(r, r.home);
+                send(r, r.warmServer);
             } else {
                 i++;
             }
         }
         // A flow that must wait for the backends that still answer it keeps no other from the rest.
         var waiting = new boolean[classes.size() * flowsOfClass];
-        for (int i = 0; i < held.size() && mayGo(held.get(i)); ) {
+        for (int i = 0; i < held.size() && mayAdmit(held.get(i)); ) {
             Request r = held.get(i);
             Server s = waiting[r.flow] && r.attempts.isEmpty() ? null : pick(r);
             if (s != null) {
@@ -791,7 +803,7 @@
         }
         for (int i = held.size() - 1; i >= 0; i--) {
             Request r = held.get(i);
-            if (r.giveUpAt <= now || servers.isEmpty() || i >= Math.max(room, 1)) {
+            if (r.giveUpAt <= now || servers.isEmpty() || i >= Math.max(attemptLimit, 1)) {
                 held.remove(i);
                 finish(r);
             }
@@ -799,7 +811,7 @@
         // Rule 1: whatever is held has a timer ahead of its deadline; sooner, as time brings room too.
         long next = held.stream().mapToLong(r -> r.giveUpAt).min().orElse(Long.MAX_VALUE);
         if (!held.isEmpty() && (now >= wakeAt || next < wakeAt)) {
-            wakeAt = Math.min(now + crowdUs / 4, next);
+            wakeAt = Math.min(now + latencyBudgetUs / 4, next);
             out.accept(new SetTimer(wakeAt, "held"));
         }
     }
@@ -818,8 +830,8 @@
     private long comeBackUs(Request r) {
         double heldUs = servers.isEmpty() ? refreshUs : held.size() / Math.max(answerRate(), 1.0 / refreshUs);
         double spread = 1 - (mix(r.id.hashCode()) >>> 16) / 262_144.0;
-        return (long)
-                (spread * Math.min(Math.max(crowdUs, heldUs), settings.limits().maxRetryAfterUs()));
+        return (long) (spread
+                * Math.min(Math.max(latencyBudgetUs, heldUs), settings.limits().maxRetryAfterUs()));
     }
 
     // Timers
