Name the limit on connections by its parts: limiter, budget, eviction queue

Cause: Sockets held the shares of descriptors, the counts and the order of eviction together, under names that needed explaining (LOBBY, giveUp, crowded).

Change: ConnectionLimiter counts and admits, DescriptorBudget shares out the limit, EvictionQueue keeps what may be closed.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -72,17 +72,17 @@
     private final Clock clock;
     private final EventLoop loop;
     private final Transport transport;
-    private final Sockets sockets;
+    private final ConnectionLimiter limiter;
     private final Bootstrap bootstrap;
     private final long idleUs;
     private final IdleLimit idleLimit = new IdleLimit();
     private final Map<String, Target> targets = new HashMap<>();
 
-    Backends(Clock clock, Transport transport, Sockets sockets, long connIdleUs, long connectTimeoutUs) {
+    Backends(Clock clock, Transport transport, ConnectionLimiter limiter, long connIdleUs, long connectTimeoutUs) {
         this.clock = clock;
         this.loop = transport.loop();
         this.transport = transport;
-        this.sockets = sockets;
+        this.limiter = limiter;
         // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
         this.idleUs = connIdleUs * 3 / 5;
         this.bootstrap = transport.client().clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
@@ -139,7 +139,7 @@
     /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
     Attempt attempt(String id, Outgoing outgoing, long timeoutUs, End end) {
         Target target = targets.get(id);
-        if (target == null || !target.ready || (!target.pool.hasIdle() && !sockets.roomForBackend())) {
+        if (target == null || !target.ready || (!target.pool.hasIdle() && !limiter.admitsBackend())) {
             return null;
         }
         return new Attempt(target, outgoing, timeoutUs, end);
@@ -158,7 +158,7 @@
                     bootstrap.clone().remoteAddress(transport.address(address)), new AbstractChannelPoolHandler() {
                         @Override
                         public void channelCreated(Channel channel) {
-                            sockets.backendOpened(channel);
+                            limiter.backendOpened(channel);
                             var decoder = new Framing.Responses();
                             channel.pipeline()
                                     .addLast(
@@ -221,7 +221,7 @@
                     i.remove();
                     // Where the loop was held up, what has come may be unread: it would pass for the next answer.
                     if (transport.silent().test(connection.channel)) {
-                        sockets.backendIdle(connection.channel, false);
+                        limiter.backendBusy(connection.channel);
                         return connection.channel;
                     }
                     connection.channel.close();
@@ -235,7 +235,7 @@
             Connection connection = channel.pipeline().get(Connection.class);
             connection.idleSince = clock.now();
             idle.addLast(connection);
-            sockets.backendIdle(channel, true);
+            limiter.backendIdle(channel);
             return true;
         }
 
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -72,7 +72,7 @@
     private final Clock clock;
     private final Log log;
     private final Proxy proxy;
-    private final Sockets sockets;
+    private final ConnectionLimiter limiter;
     private final BooleanSupplier ready;
     private final Map<String, Balancer.Effect> effects = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
@@ -83,11 +83,17 @@
     private long beatAt;
     private long heldUpFrom = Long.MAX_VALUE;
 
-    Frontend(Clock clock, Log log, Proxy proxy, Sockets sockets, Balancer.Settings settings, BooleanSupplier ready) {
+    Frontend(
+            Clock clock,
+            Log log,
+            Proxy proxy,
+            ConnectionLimiter limiter,
+            Balancer.Settings settings,
+            BooleanSupplier ready) {
         this.clock = clock;
         this.log = log;
         this.proxy = proxy;
-        this.sockets = sockets;
+        this.limiter = limiter;
         this.ready = ready;
         settings.classes().forEach(c -> effects.put(c.name(), c.effect()));
         settings.tenants().forEach(t -> tenants.add(t.name()));
@@ -103,13 +109,13 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        sockets.clientOpened(channel);
+                        limiter.clientOpened(channel);
                         channel.pipeline().addLast(new Connection());
                     }
                 })
                 .bind(transport.address(address));
         listener = bound.channel();
-        sockets.listener(listener);
+        limiter.listener(listener);
         return bound;
     }
 
@@ -267,7 +273,7 @@
             firstByteAt = -1;
             var next = new Exchange(this, request, lastReadAt);
             if (exchange == null) {
-                sockets.clientBusy(channel);
+                limiter.clientBusy(channel);
                 exchange = next;
                 // As a task: by then all that has come is read, and a client that has gone is known to have.
                 channel.eventLoop().execute(next::begin);
@@ -294,7 +300,7 @@
                 // Not before: an idle connection may be closed at any moment.
                 written.addListener(f -> {
                     if (exchange == null && !unsent()) {
-                        sockets.clientIdle(channel);
+                        limiter.clientIdle(channel);
                     }
                 });
             }
@@ -369,7 +375,7 @@
          */
         private void hangUp() {
             partedAt = clock.now();
-            sockets.clientIdle(channel);
+            limiter.clientIdle(channel);
             HttpUtil.setKeepAlive(parting, false);
             channel.writeAndFlush(parting).addListener(f -> {
                 if (f.isSuccess() && !left && dropped < DROPPED && channel instanceof SocketChannel socket) {
@@ -609,7 +615,7 @@
                 return;
             }
             boolean keepAlive = HttpUtil.isKeepAlive(request)
-                    && !((closing || connection.left || sockets.crowded()) && connection.last());
+                    && !((closing || connection.left || limiter.nearClientLimit()) && connection.last());
             HttpUtil.setKeepAlive(answer, keepAlive);
             request.release();
             ChannelFuture written = connection.channel.writeAndFlush(answer);
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -52,13 +52,13 @@
         loop = transport.loop();
         var clock = new Clock();
         var settings = config.settings();
-        var sockets = new Sockets(loop, config.sockets());
-        var backends = new Backends(clock, transport, sockets, config.connIdleUs(), config.connectTimeoutUs());
+        var limiter = new ConnectionLimiter(loop, config.sockets());
+        var backends = new Backends(clock, transport, limiter, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(transport, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(
-                clock, log, proxy, sockets, settings, () -> discovery.heard().isDone() && backends.anyReady());
+                clock, log, proxy, limiter, settings, () -> discovery.heard().isDone() && backends.anyReady());
     }
 
     /**
--- a/src/main/java/beechfall/proxy/Transport.java
+++ b/src/main/java/beechfall/proxy/Transport.java
@@ -37,7 +37,7 @@
         Function<InetSocketAddress, SocketAddress> addresses,
         Predicate<Channel> silent) {
     private static final int BACKLOG = 1_024;
-    /** Each counts only after all of them are accepted: {@link Sockets} keeps so many places. */
+    /** Each counts only after all of them are accepted: {@link DescriptorBudget} keeps so many places. */
     static final int ACCEPTED_AT_ONCE = 32;
 
     private static final int READS_AT_ONCE = 16;
--- a/src/test/java/beechfall/proxy/SocketsTest.java
+++ b/src/test/java/beechfall/proxy/ConnectionLimiterTest.java
@@ -9,27 +9,27 @@
 import org.junit.jupiter.api.Test;
 
 /** What is accepted and opened at any one moment; the loop's tasks run only where a test says so. */
-class SocketsTest {
+class ConnectionLimiterTest {
     private static final int LIMIT = 128;
 
     private final EmbeddedChannel listener = new EmbeddedChannel();
-    private final Sockets sockets = new Sockets(listener.eventLoop(), LIMIT);
+    private final ConnectionLimiter limiter = new ConnectionLimiter(listener.eventLoop(), LIMIT);
     private final List<Channel> clients = new ArrayList<>();
 
     /** Opens clients for as long as the proxy accepts any. */
     private void crowd() {
-        sockets.listener(listener);
+        limiter.listener(listener);
         while (listener.config().isAutoRead()) {
             var client = new EmbeddedChannel();
             clients.add(client);
-            sockets.clientOpened(client);
+            limiter.clientOpened(client);
         }
     }
 
     private int openBackends() {
         int opened = 0;
-        while (opened < LIMIT && sockets.roomForBackend()) {
-            sockets.backendOpened(new EmbeddedChannel());
+        while (opened < LIMIT && limiter.admitsBackend()) {
+            limiter.backendOpened(new EmbeddedChannel());
             opened++;
         }
         return opened;
