Count backends' and closing connections before clients are accepted

Cause: accepting was paused by the number of clients alone. Backends could hold all 64 connections of a limit of 128 as 72 clients came, 136 and the runtime's own together. A closed socket also counted as free at once, while its descriptor is held until the selector's next turn.

Change: a client is accepted while all connections, closing ones included, leave room for what one turn may accept; where they don't, idle connections to backends are evicted too, and nothing opens beyond the budget.

--- a/src/main/java/beechfall/proxy/ConnectionLimiter.java
+++ b/src/main/java/beechfall/proxy/ConnectionLimiter.java
@@ -6,8 +6,9 @@
 
 /**
  * Keeps the connections of clients and backends within the {@link DescriptorBudget}, so that the process stays under
- * its limit of descriptors. As connections run short, those of clients end with their answers and idle ones are evicted;
- * while nothing can be evicted, no client is accepted and the others wait in the listener's queue.
+ * its limit of descriptors and the calls to discovery always find one. As connections run short, those of clients end
+ * with their answers and idle ones are evicted; while nothing can be evicted, no client is accepted and the others wait
+ * in the listener's queue.
  */
 final class ConnectionLimiter {
     /** A request that is on its way to a new connection has come by then: evicted sooner, it would fail. */
@@ -23,6 +24,9 @@
 
     private int clients;
     private int backends;
+    /** Closed connections whose descriptors the selector has yet to release. */
+    private int closing;
+
     private boolean evictionScheduled;
     private Channel listener;
 
@@ -32,7 +36,7 @@
         budget = DescriptorBudget.of(descriptorLimit);
     }
 
-    /** Sets the listening channel, which does not accept while clients are over their part. */
+    /** Sets the listening channel, which accepts only while there is room for all that it may accept in one turn. */
     void listener(Channel channel) {
         listener = channel;
     }
@@ -44,7 +48,7 @@
         channel.closeFuture().addListener(f -> {
             clients--;
             clientBusy(channel);
-            updateAccepting();
+            awaitRelease();
         });
         evictSoon();
         updateAccepting();
@@ -75,9 +79,11 @@
 
     /** Returns whether one more connection to a backend may be opened; evicts an idle connection where that helps. */
     boolean admitsBackend() {
-        return Math.min(clients, budget.clients()) + backends < budget.connections()
-                || idleBackends.evictOldest()
-                || evictClient();
+        // The descriptor of an evicted connection is still held while the new one is opened.
+        return open() < budget.most()
+                && (Math.min(clients, budget.clients()) + backends < budget.connections()
+                        || idleBackends.evictOldest()
+                        || evictClient());
     }
 
     /** Counts a connection to a backend from before its connect up to its close. */
@@ -86,7 +92,9 @@
         channel.closeFuture().addListener(f -> {
             backends--;
             backendBusy(channel);
+            awaitRelease();
         });
+        updateAccepting();
     }
 
     /** A connection to a backend carries an attempt, and is not evicted. */
@@ -99,18 +107,37 @@
         backendBusy(channel);
         if (channel.isOpen()) {
             idleBackends.add(channel);
+            evictSoon();
         }
     }
 
+    /**
+     * A closed socket keeps its descriptor until the selector's next turn. A task may still run before that; what it
+     * schedules runs after it.
+     */
+    private void awaitRelease() {
+        closing++;
+        loop.execute(() -> loop.schedule(this::released, 0, TimeUnit.NANOSECONDS));
+    }
+
+    private void released() {
+        closing--;
+        updateAccepting();
+    }
+
+    private int open() {
+        return clients + backends + closing;
+    }
+
     private void updateAccepting() {
-        boolean accepting = clients <= budget.clients();
+        boolean accepting = clients <= budget.clients() && open() <= budget.connections();
         if (listener != null && listener.config().isAutoRead() != accepting) {
             listener.config().setAutoRead(accepting);
         }
     }
 
     private boolean overBudget() {
-        return clients > budget.clients();
+        return clients > budget.clients() || clients + backends > budget.connections();
     }
 
     /** As a task: what the loop has found to be readable is read first, and its connection is idle no more. */
@@ -124,7 +151,7 @@
     private void evictDownToBudget() {
         evictionScheduled = false;
         while (overBudget()) {
-            if (!evictClient()) {
+            if (!evictOne()) {
                 evictionScheduled = !silentClients.isEmpty();
                 if (evictionScheduled) {
                     loop.schedule(this::evictDownToBudget, FIRST_REQUEST_NS, TimeUnit.NANOSECONDS);
@@ -134,6 +161,11 @@
         }
     }
 
+    private boolean evictOne() {
+        boolean tooManyClients = clients > budget.clients();
+        return (!tooManyClients && idleBackends.evictOldest()) || evictClient();
+    }
+
     private boolean evictClient() {
         return silentClients.evictOldest() || idleClients.evictOldest();
     }
--- /dev/null
+++ b/src/test/java/beechfall/proxy/DescriptorReserveTest.java
@@ -0,0 +1,134 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A crowd that asks for nothing keeps nobody else from a descriptor: discovery, the front's probes, requests. */
+class DescriptorReserveTest {
+    private static final int LIMIT = 128;
+    private static final int CROWD = 400;
+    private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
+
+    private final List<Wire> crowd = new ArrayList<>();
+
+    @AfterEach
+    void dispersed() throws IOException {
+        for (Wire client : crowd) {
+            client.close();
+        }
+    }
+
+    private void crowd(int port, int size, String sent) throws IOException {
+        for (int i = 0; i < size; i++) {
+            Wire client = Wire.to(port);
+            crowd.add(client);
+            try {
+                client.send(sent);
+            } catch (IOException e) {
+                // It has been evicted already.
+            }
+        }
+    }
+
+    private static boolean answers(int port, String request, int status) {
+        try (Wire client = Wire.to(port)) {
+            Wire.Message answer = client.send(request).read();
+            return answer != null && answer.status() == status;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** What the crowd has sent: nothing, a whole request whose answer leaves the connection idle, half a request. */
+    private static String opening(String kind) {
+        return switch (kind) {
+            case "silent" -> "";
+            case "idle" -> READY;
+            default -> Fixture.post("half", "body").replace("body", "bo");
+        };
+    }
+
+    @ParameterizedTest
+    @CsvSource({"silent,false", "silent,true", "idle,false", "idle,true", "half,false", "half,true"})
+    void getsItsListAndServesInACrowd(String kind, boolean refuses) throws Exception {
+        try (var backend = new Peer();
+                var proxy = Fixture.inService(LIMIT)) {
+            backend.always(Peer.ok("served"));
+            crowd(proxy.address.getPort(), CROWD, opening(kind));
+            if (refuses) {
+                proxy.discovery.accept().close();
+            }
+            proxy.settle();
+            assertThat(proxy.connected()).isPositive();
+            proxy.discovery.always(Peer.ok(Fixture.list(42, true, Fixture.entry("s0", backend.address(), "ready"))));
+            Peer.until(() -> answers(proxy.address.getPort(), READY, 200));
+            assertThat(answers(proxy.address.getPort(), Fixture.get("r1"), 200)).isTrue();
+        }
+    }
+
+    /** The kernel is the witness: one descriptor too many fails, and the failure is logged. */
+    @Test
+    void theProcessStaysUnderItsLimit(@TempDir Path folder) throws Exception {
+        File log = folder.resolve("log").toFile();
+        try (var backend = new Peer();
+                var discovery = new Peer()) {
+            backend.always(Peer.ok("served"));
+            String[] entries = IntStream.range(0, LIMIT)
+                    .mapToObj(i -> Fixture.entry("s" + i, backend.address(), "ready"))
+                    .toArray(String[]::new);
+            discovery.always(Peer.ok(Fixture.list(42, true, entries)));
+            int most = LIMIT + ServeProcess.FURTHER_JARS;
+            Process process = ServeProcess.start(folder, config(discovery, LIMIT), most, log);
+            try {
+                int port = port(log);
+                Peer.until(() -> answers(port, READY, 200));
+                assertThat(ServeProcess.jars(process)).isEqualTo(1 + ServeProcess.FURTHER_JARS);
+                // Idle connections to backends first, as many as it keeps.
+                var requests = new int[1];
+                Peer.until(() -> {
+                    answers(port, Fixture.get("r" + requests[0]++), 200);
+                    return ServeProcess.descriptors(process) > most - LIMIT / 2;
+                });
+                for (String kind : List.of("silent", "half", "idle")) {
+                    crowd(port, CROWD, opening(kind));
+                    assertThat(ServeProcess.descriptors(process)).isLessThanOrEqualTo(most);
+                    Peer.until(() -> answers(port, Fixture.get(kind), 200));
+                }
+                assertThat(log).content().doesNotContain("Too many open files");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static String config(Peer discovery, int limit) {
+        return Fixture.config(discovery.address()).replace("\"sockets\":1024", "\"sockets\":" + limit);
+    }
+
+    private static String read(File log) {
+        try {
+            return Files.readString(log.toPath());
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Waits until the proxy says where it listens. */
+    private static int port(File log) throws InterruptedException {
+        String listening = "listening on ";
+        Peer.until(() -> read(log).matches("(?s).*" + listening + "\\d+\\D.*"));
+        return Integer.parseInt(read(log).replaceAll("(?s).*" + listening + "(\\d+)\\D.*", "$1"));
+    }
+}
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -77,6 +77,11 @@
         return new Fixture(Policy::new, 1_024, 15_000_000, edit, backends);
     }
 
+    /** A proxy with the module that it has in service, under a limit of descriptors. */
+    static Fixture inService(int sockets, Peer... backends) throws Exception {
+        return new Fixture(Policy::new, sockets, 15_000_000, c -> c, backends);
+    }
+
     private Fixture(
             Function<Balancer.Settings, Balancer> factory,
             int sockets,
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -18,7 +18,6 @@
 
 /** A planned restart, and the limit on sockets. */
 class ServeTest {
-    private static final String CONFIG = "config.json";
     /** Asked of a proxy that is not ready; the answer keeps the connection. */
     private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
 
@@ -144,7 +143,7 @@
             CompletableFuture<Void> drained = CompletableFuture.completedFuture(null);
             if (crowd) {
                 // All of them hold a request: the one that holds none is to make room.
-                for (int i = 0; i < 40; i++) {
+                for (int i = 0; i < DescriptorBudget.of(128).clients(); i++) {
                     Wire client = proxy.client();
                     clients.add(client);
                     client.send(Fixture.get("held" + i));
@@ -283,7 +282,8 @@
     @Test
     void drainsWheneverItIsToldToEnd(@TempDir Path folder) throws Exception {
         try (var agent = new Peer()) {
-            Process process = serve(folder, Fixture.config(agent.address()).replace("on_request", "pushed"));
+            Process process =
+                    ServeProcess.start(folder, Fixture.config(agent.address()).replace("on_request", "pushed"));
             try {
                 // It lets nobody in before this is answered, and it is not.
                 agent.accept().read();
@@ -300,10 +300,10 @@
     void readsItsFileAgainOnSighup(@TempDir Path folder) throws Exception {
         try (var first = new Peer();
                 var second = new Peer()) {
-            Process process = serve(folder, Fixture.config(first.address()));
+            Process process = ServeProcess.start(folder, Fixture.config(first.address()));
             try {
                 first.accept().read();
-                Files.writeString(folder.resolve(CONFIG), Fixture.config(second.address()));
+                Files.writeString(folder.resolve(ServeProcess.CONFIG), Fixture.config(second.address()));
                 new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
                         .inheritIO()
                         .start()
@@ -316,17 +316,4 @@
             }
         }
     }
-
-    private static Process serve(Path folder, String config) throws IOException {
-        Path file = Files.writeString(folder.resolve(CONFIG), config);
-        var command = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "beechfall.Main",
-                "serve");
-        command.environment().put("PROXY_CONFIG", file.toString());
-        return command.inheritIO().start();
-    }
 }
--- a/src/test/java/beechfall/proxy/Wire.java
+++ b/src/test/java/beechfall/proxy/Wire.java
@@ -28,7 +28,11 @@
     }
 
     static Wire to(InetSocketAddress address) throws IOException {
-        return new Wire(new Socket(InetAddress.getLoopbackAddress(), address.getPort()));
+        return to(address.getPort());
+    }
+
+    static Wire to(int port) throws IOException {
+        return new Wire(new Socket(InetAddress.getLoopbackAddress(), port));
     }
 
     Wire send(String text) throws IOException {
