Keep serving when the kernel refuses a descriptor

Cause: the first failure that Netty logs makes the runtime load its time zones from a file. Where the failure is that no descriptor is left, this fails too, and the error ends the event loop and with it the process.

Change: the transport formats one line of the log before it serves.

Checked: accepting does not spin then; Netty pauses it for a second at each failure.

--- a/src/main/java/beechfall/proxy/Transport.java
+++ b/src/main/java/beechfall/proxy/Transport.java
@@ -24,6 +24,9 @@
 import java.util.UUID;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.SimpleFormatter;
 
 /**
  * What connections are made of, and the one thread that they are served by: sockets, or, for {@link Warmup}, Netty's
@@ -43,6 +46,7 @@
     private static final int READS_AT_ONCE = 16;
 
     static Transport sockets() {
+        loadLogging();
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         ServerBootstrap server = new ServerBootstrap()
                 .group(loop)
@@ -71,6 +75,14 @@
         });
     }
 
+    /**
+     * Formats a line as Netty's log would. The first one opens files, that of the time zones among them: where it tells
+     * that descriptors have run out, it would fail, and its error would end the loop.
+     */
+    private static void loadLogging() {
+        new SimpleFormatter().format(new LogRecord(Level.WARNING, ""));
+    }
+
     static Transport inProcess() {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory()).next();
         // Such addresses are the whole process's: each transport has its own.
--- a/src/test/java/beechfall/proxy/DescriptorReserveTest.java
+++ b/src/test/java/beechfall/proxy/DescriptorReserveTest.java
@@ -113,6 +113,29 @@
         }
     }
 
+    /** The log of the failure is written by a process that can't open any file for it. */
+    @Test
+    void aLackOfDescriptorsDoesNotEndTheProcess(@TempDir Path folder) throws Exception {
+        File log = folder.resolve("log").toFile();
+        try (var discovery = new Peer()) {
+            Process process = starved(folder, discovery, log);
+            try {
+                int port = port(log);
+                crowd(port, LIMIT, "");
+                Peer.until(() -> read(log).contains("Too many open files"));
+                dispersed();
+                Peer.until(() -> answers(port, READY, 503));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    /** Starts a proxy that is told of far more descriptors than it gets. */
+    private static Process starved(Path folder, Peer discovery, File log) throws IOException {
+        return ServeProcess.start(folder, config(discovery, 1_024), LIMIT / 2, log);
+    }
+
     private static String config(Peer discovery, int limit) {
         return Fixture.config(discovery.address()).replace("\"sockets\":1024", "\"sockets\":" + limit);
     }
