Ask discovery again after a call that found no descriptor

Cause: without a descriptor there is no channel. The connect's future then fails on a thread of its own, and closing the channel that is not there throws before the failure is told: the call stayed the watch for ever, and nothing asked again.

Change: the failure is handled on the loop, and only a registered channel is closed.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -251,7 +251,8 @@
             channel = connect.channel();
             connect.addListener(f -> {
                 if (!f.isSuccess()) {
-                    finish(null, "no connection");
+                    // Without a descriptor there is no channel, and the future fails at once and on another thread.
+                    loop.execute(() -> finish(null, "no connection"));
                 }
             });
         }
@@ -305,7 +306,9 @@
         void end() {
             ended = true;
             timer.cancel(false);
-            channel.close();
+            if (channel.isRegistered()) {
+                channel.close();
+            }
         }
     }
 }
--- a/src/test/java/beechfall/proxy/DescriptorReserveTest.java
+++ b/src/test/java/beechfall/proxy/DescriptorReserveTest.java
@@ -131,6 +131,28 @@
         }
     }
 
+    /** However the descriptors ran out, discovery is asked again once there are some. */
+    @Test
+    void aCallWithoutADescriptorIsMadeAgain(@TempDir Path folder) throws Exception {
+        File log = folder.resolve("log").toFile();
+        try (var discovery = new Peer()) {
+            Process process = starved(folder, discovery, log);
+            try {
+                int port = port(log);
+                Wire call = discovery.accept();
+                call.read();
+                crowd(port, LIMIT, "");
+                Peer.until(() -> ServeProcess.descriptors(process) == LIMIT / 2);
+                call.close();
+                Peer.until(() -> read(log).contains("no connection"));
+                dispersed();
+                assertThat(discovery.accept().read()).isNotNull();
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     /** Starts a proxy that is told of far more descriptors than it gets. */
     private static Process starved(Path folder, Peer discovery, File log) throws IOException {
         return ServeProcess.start(folder, config(discovery, 1_024), LIMIT / 2, log);
