State what an idle process holds as measured: ten or eleven descriptors

Cause: the twelve that the budget and name counted a /dev/null inherited from the shell of the measurement.

Change: the comment alone; the reserve of 16 stands.

--- a/src/main/java/beechfall/proxy/DescriptorBudget.java
+++ b/src/main/java/beechfall/proxy/DescriptorBudget.java
@@ -9,10 +9,10 @@
  */
 record DescriptorBudget(int connections, int clients, int most) {
     /**
-     * What an idle process holds, twelve as measured from {@code /proc/PID/fd}: three standard streams, the runtime's
-     * module file and the jar, two sources of random numbers, the selector's epoll and event descriptors, a socket and
-     * a {@code /dev/null} that the runtime opens, and the listener. The others are for files that are open for a moment:
-     * the configuration, and the class archive at the start.
+     * What an idle process holds, ten or eleven as measured from {@code /proc/PID/fd}: three standard streams, the
+     * runtime's module file and the jar, two sources of random numbers, the selector's epoll and event descriptors, the
+     * listener, and in some runs one more socket. The others are for files that are open for a moment: the
+     * configuration, the class archive at the start, and what the runtime loads late.
      */
     private static final int RUNTIME = 16;
 
