Share the start of a limited process between the tests of the reserve

Cause: three tests started the process, waited for its port and ended it in the same lines.

Change: ServeProcess is that process, with its log and its port. What is asserted is unchanged.

--- a/src/test/java/beechfall/proxy/DescriptorReserveTest.java
+++ b/src/test/java/beechfall/proxy/DescriptorReserveTest.java
@@ -2,9 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.File;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,6 +17,9 @@
 class DescriptorReserveTest {
     private static final int LIMIT = 128;
     private static final int CROWD = 400;
+    /** What the runtime says of a descriptor that the kernel refuses. */
+    private static final String SHORTAGE = "Too many open files";
+
     private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
 
     private final List<Wire> crowd = new ArrayList<>();
@@ -81,99 +82,69 @@
     /** The kernel is the witness: one descriptor too many fails, and the failure is logged. */
     @Test
     void theProcessStaysUnderItsLimit(@TempDir Path folder) throws Exception {
-        File log = folder.resolve("log").toFile();
+        int most = LIMIT + ServeProcess.FURTHER_JARS;
         try (var backend = new Peer();
-                var discovery = new Peer()) {
+                var discovery = new Peer();
+                var proxy = new ServeProcess(folder, config(discovery, LIMIT), most)) {
             backend.always(Peer.ok("served"));
             String[] entries = IntStream.range(0, LIMIT)
                     .mapToObj(i -> Fixture.entry("s" + i, backend.address(), "ready"))
                     .toArray(String[]::new);
             discovery.always(Peer.ok(Fixture.list(42, true, entries)));
-            int most = LIMIT + ServeProcess.FURTHER_JARS;
-            Process process = ServeProcess.start(folder, config(discovery, LIMIT), most, log);
-            try {
-                int port = port(log);
-                Peer.until(() -> answers(port, READY, 200));
-                assertThat(ServeProcess.jars(process)).isEqualTo(1 + ServeProcess.FURTHER_JARS);
-                // Idle connections to backends first, as many as it keeps.
-                var requests = new int[1];
-                Peer.until(() -> {
-                    answers(port, Fixture.get("r" + requests[0]++), 200);
-                    return ServeProcess.descriptors(process) > most - LIMIT / 2;
-                });
-                for (String kind : List.of("silent", "half", "idle")) {
-                    crowd(port, CROWD, opening(kind));
-                    assertThat(ServeProcess.descriptors(process)).isLessThanOrEqualTo(most);
-                    Peer.until(() -> answers(port, Fixture.get(kind), 200));
-                }
-                assertThat(log).content().doesNotContain("Too many open files");
-            } finally {
-                process.destroyForcibly();
+            int port = proxy.port();
+            Peer.until(() -> answers(port, READY, 200));
+            assertThat(proxy.jars()).isEqualTo(1 + ServeProcess.FURTHER_JARS);
+            // Idle connections to backends first, as many as it keeps.
+            var requests = new int[1];
+            Peer.until(() -> {
+                answers(port, Fixture.get("r" + requests[0]++), 200);
+                return proxy.descriptors() > most - LIMIT / 2;
+            });
+            for (String kind : List.of("silent", "half", "idle")) {
+                crowd(port, CROWD, opening(kind));
+                assertThat(proxy.descriptors()).isLessThanOrEqualTo(most);
+                Peer.until(() -> answers(port, Fixture.get(kind), 200));
             }
+            assertThat(proxy.log()).doesNotContain(SHORTAGE);
         }
     }
 
     /** The log of the failure is written by a process that can't open any file for it. */
     @Test
     void aLackOfDescriptorsDoesNotEndTheProcess(@TempDir Path folder) throws Exception {
-        File log = folder.resolve("log").toFile();
-        try (var discovery = new Peer()) {
-            Process process = starved(folder, discovery, log);
-            try {
-                int port = port(log);
-                crowd(port, LIMIT, "");
-                Peer.until(() -> read(log).contains("Too many open files"));
-                dispersed();
-                Peer.until(() -> answers(port, READY, 503));
-            } finally {
-                process.destroyForcibly();
-            }
+        try (var discovery = new Peer();
+                var proxy = starved(folder, discovery)) {
+            int port = proxy.port();
+            crowd(port, LIMIT, "");
+            Peer.until(() -> proxy.log().contains(SHORTAGE));
+            dispersed();
+            Peer.until(() -> answers(port, READY, 503));
         }
     }
 
     /** However the descriptors ran out, discovery is asked again once there are some. */
     @Test
     void aCallWithoutADescriptorIsMadeAgain(@TempDir Path folder) throws Exception {
-        File log = folder.resolve("log").toFile();
-        try (var discovery = new Peer()) {
-            Process process = starved(folder, discovery, log);
-            try {
-                int port = port(log);
-                Wire call = discovery.accept();
-                call.read();
-                crowd(port, LIMIT, "");
-                Peer.until(() -> ServeProcess.descriptors(process) == LIMIT / 2);
-                call.close();
-                Peer.until(() -> read(log).contains("no connection"));
-                dispersed();
-                assertThat(discovery.accept().read()).isNotNull();
-            } finally {
-                process.destroyForcibly();
-            }
+        try (var discovery = new Peer();
+                var proxy = starved(folder, discovery)) {
+            int port = proxy.port();
+            Wire call = discovery.accept();
+            call.read();
+            crowd(port, LIMIT, "");
+            Peer.until(() -> proxy.descriptors() == LIMIT / 2);
+            call.close();
+            Peer.until(() -> proxy.log().contains("no connection"));
+            dispersed();
+            assertThat(discovery.accept().read()).isNotNull();
         }
     }
 
     /** Starts a proxy that is told of far more descriptors than it gets. */
-    private static Process starved(Path folder, Peer discovery, File log) throws IOException {
-        return ServeProcess.start(folder, config(discovery, 1_024), LIMIT / 2, log);
+    private static ServeProcess starved(Path folder, Peer discovery) throws IOException {
+        return new ServeProcess(folder, config(discovery, 1_024), LIMIT / 2);
     }
 
     private static String config(Peer discovery, int limit) {
         return Fixture.config(discovery.address()).replace("\"sockets\":1024", "\"sockets\":" + limit);
     }
-
-    private static String read(File log) {
-        try {
-            return Files.readString(log.toPath());
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        }
-    }
-
-    /** Waits until the proxy says where it listens. */
-    private static int port(File log) throws InterruptedException {
-        String listening = "listening on ";
-        Peer.until(() -> read(log).matches("(?s).*" + listening + "\\d+\\D.*"));
-        return Integer.parseInt(read(log).replaceAll("(?s).*" + listening + "(\\d+)\\D.*", "$1"));
-    }
 }
