--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -52,8 +52,8 @@
         loop = transport.loop();
         var clock = new Clock();
         var settings = config.settings();
-        var sockets = new Sockets(loop, config.sockets());
-        var backends = new Backends(clock, transport, sockets, config.connIdleUs(), config.connectTimeoutUs());
+        var limiter = new ConnectionLimiter(loop, config.sockets());
+        var backends = new Backends(clock, transport, limiter, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(transport, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
@@ -61,7 +61,7 @@
                 clock,
                 log,
                 proxy,
-                sockets,
+                limiter,
                 settings,
                 () -> discovery.firstCallEnded().isDone() && backends.anyReady());
     }
--- /dev/null
+++ b/src/test/java/beechfall/proxy/DescriptorReserveTest.java
@@ -0,0 +1,150 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A crowd that asks for nothing keeps nobody else from a descriptor: discovery, the front's probes, requests. */
+class DescriptorReserveTest {
+    private static final int LIMIT = 128;
+    private static final int CROWD = 400;
+    /** What the runtime says of a descriptor that the kernel refuses. */
+    private static final String SHORTAGE = "Too many open files";
+
+    private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
+
+    private final List<Wire> crowd = new ArrayList<>();
+
+    @AfterEach
+    void dispersed() throws IOException {
+        for (Wire client : crowd) {
+            client.close();
+        }
+    }
+
+    private void crowd(int port, int size, String sent) throws IOException {
+        for (int i = 0; i < size; i++) {
+            Wire client = Wire.to(port);
+            crowd.add(client);
+            try {
+                client.send(sent);
+            } catch (IOException e) {
+                // It has been evicted already.
+            }
+        }
+    }
+
+    private static boolean answers(int port, String request, int status) {
+        try (Wire client = Wire.to(port)) {
+            Wire.Message answer = client.send(request).read();
+            return answer != null && answer.status() == status;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** What the crowd has sent: nothing, a whole request whose answer leaves the connection idle, half a request. */
+    private static String opening(String kind) {
+        return switch (kind) {
+            case "silent" -> "";
+            case "idle" -> READY;
+            default -> Fixture.post("half", "body").replace("body", "bo");
+        };
+    }
+
+    @ParameterizedTest
+    @CsvSource({"silent,false", "silent,true", "idle,false", "idle,true", "half,false", "half,true"})
+    void getsItsListAndServesInACrowd(String kind, boolean refuses) throws Exception {
+        try (var backend = new Peer();
+                var proxy = Fixture.inService(LIMIT)) {
+            backend.always(Peer.ok("served"));
+            crowd(proxy.address.getPort(), CROWD, opening(kind));
+            if (refuses) {
+                proxy.discovery.accept().close();
+            }
+            proxy.settle();
+            assertThat(proxy.connected()).isPositive();
+            proxy.discovery.always(Peer.ok(Fixture.list(42, true, Fixture.entry("s0", backend.address(), "ready"))));
+            Peer.until(() -> answers(proxy.address.getPort(), READY, 200));
+            assertThat(answers(proxy.address.getPort(), Fixture.get("r1"), 200)).isTrue();
+        }
+    }
+
+    /** The kernel is the witness: one descriptor too many fails, and the failure is logged. */
+    @Test
+    void theProcessStaysUnderItsLimit(@TempDir Path folder) throws Exception {
+        int most = LIMIT + ServeProcess.FURTHER_JARS;
+        try (var backend = new Peer();
+                var discovery = new Peer();
+                var proxy = new ServeProcess(folder, config(discovery, LIMIT), most)) {
+            backend.always(Peer.ok("served"));
+            String[] entries = IntStream.range(0, LIMIT)
+                    .mapToObj(i -> Fixture.entry("s" + i, backend.address(), "ready"))
+                    .toArray(String[]::new);
+            discovery.always(Peer.ok(Fixture.list(42, true, entries)));
+            int port = proxy.port();
+            Peer.until(() -> answers(port, READY, 200));
+            assertThat(proxy.jars()).isEqualTo(1 + ServeProcess.FURTHER_JARS);
+            // Idle connections to backends first, as many as it keeps.
+            var requests = new int[1];
+            Peer.until(() -> {
+                answers(port, Fixture.get("r" + requests[0]++), 200);
+                return proxy.descriptors() > most - LIMIT / 2;
+            });
+            for (String kind : List.of("silent", "half", "idle")) {
+                crowd(port, CROWD, opening(kind));
+                assertThat(proxy.descriptors()).isLessThanOrEqualTo(most);
+                Peer.until(() -> answers(port, Fixture.get(kind), 200));
+            }
+            assertThat(proxy.log()).doesNotContain(SHORTAGE);
+        }
+    }
+
+    /** The log of the failure is written by a process that can't open any file for it. */
+    @Test
+    void aLackOfDescriptorsDoesNotEndTheProcess(@TempDir Path folder) throws Exception {
+        try (var discovery = new Peer();
+                var proxy = starved(folder, discovery)) {
+            int port = proxy.port();
+            crowd(port, LIMIT, "");
+            Peer.until(() -> proxy.log().contains(SHORTAGE));
+            dispersed();
+            Peer.until(() -> answers(port, READY, 503));
+        }
+    }
+
+    /** However the descriptors ran out, discovery is asked again once there are some. */
+    @Test
+    void aCallWithoutADescriptorIsMadeAgain(@TempDir Path folder) throws Exception {
+        try (var discovery = new Peer();
+                var proxy = starved(folder, discovery)) {
+            int port = proxy.port();
+            Wire call = discovery.accept();
+            call.read();
+            crowd(port, LIMIT, "");
+            Peer.until(() -> proxy.descriptors() == LIMIT / 2);
+            call.close();
+            Peer.until(() -> proxy.log().contains("no connection"));
+            dispersed();
+            assertThat(discovery.accept().read()).isNotNull();
+        }
+    }
+
+    /** Starts a proxy that is told of far more descriptors than it gets. */
+    private static ServeProcess starved(Path folder, Peer discovery) throws IOException {
+        return new ServeProcess(folder, config(discovery, 1_024), LIMIT / 2);
+    }
+
+    private static String config(Peer discovery, int limit) {
+        return Fixture.config(discovery.address()).replace("\"sockets\":1024", "\"sockets\":" + limit);
+    }
+}
