Stop the connect of a request whose client has left after an attempt that was not sent

Cause: Proxy.left copied the attempts with List.copyOf, which throws where one was never sent and stands as null; the retry that still connected went on and could begin after its client had closed, and the request stayed known. Change: the copy takes null entries. Measured: LeavingTest.aRetryThatStillConnects... fails without the change (nothing came) and passes with it; LeavingTest's ten tests pass.

--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -133,7 +133,8 @@
     /** Nothing more is owed to a client. What has not gone out whole need not, even where the module may cancel nothing. */
     private void left(Request r) {
         deliver(new Balancer.ClientGone(r.incoming.id()));
-        List.copyOf(r.attempts).forEach(a -> {
+        // A copy, as an end may bring the next attempt; not List.copyOf, which takes no null.
+        new ArrayList<>(r.attempts).forEach(a -> {
             if (a != null && !a.written()) {
                 a.abort(Outcome.NOT_SENT);
             }
--- a/src/test/java/beechfall/proxy/LeavingTest.java
+++ b/src/test/java/beechfall/proxy/LeavingTest.java
@@ -6,6 +6,7 @@
 import beechfall.Balancer.AttemptEnded;
 import beechfall.Balancer.ClientGone;
 import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Send;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -95,6 +96,31 @@
         }
     }
 
+    /** As above, where an earlier attempt never left the proxy. */
+    @Test
+    void aRetryThatStillConnectsIsNotSentForAClientThatHasLeft() throws Exception {
+        try (var full = new Crowded();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a) {
+                                actions.accept(new Send(a.id(), "unknown", 0));
+                            } else if (event instanceof AttemptEnded e && !e.last()) {
+                                actions.accept(new Send(e.id(), "s0", 0));
+                            }
+                        },
+                        c -> Fixture.PATIENT
+                                .apply(c)
+                                .replace(
+                                        "\"servers\":[]",
+                                        "\"servers\":[" + Fixture.entry("s0", full.address(), "ready") + "]"))) {
+            Wire client = proxy.client().send(Fixture.patient("r1"));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
+            client.close();
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
+            Peer.until(() -> proxy.held() == 0);
+        }
+    }
+
     /** An attempt that is out goes on where it may not be called off; its answer is nobody's. */
     @Test
     void whatIsOutGoesOnWhereItMayNotBeCalledOff() throws Exception {
