--- a/src/main/java/beechfall/proxy/Config.java
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -44,7 +44,7 @@
      * Returns whether this proxy is new, as far as can be known: it has no list that discovery has ever changed. One
      * that comes back is missed meanwhile, and has no time for anything that can be left out.
      */
-    boolean isFirstLife() {
+    boolean isFirstStart() {
         return known == null || known.path("version").asLong() == 0;
     }
 
--- /dev/null
+++ b/src/main/java/beechfall/proxy/SignalHandlers.java
@@ -0,0 +1,44 @@
+package beechfall.proxy;
+
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+
+/**
+ * Installs handlers for POSIX signals. The one way to receive signals in Java 17 is {@code sun.misc.Signal}; it is
+ * called by reflection, as the compiler's warning about it can't be suppressed.
+ */
+final class SignalHandlers {
+    /** Reload of the configuration. */
+    static final String RELOAD = "HUP";
+
+    private SignalHandlers() {}
+
+    /**
+     * Has each signal of a name run an action, on a thread of its own, in place of what the runtime does.
+     *
+     * @param name without the prefix {@code SIG}
+     */
+    static void install(String name, Runnable action) {
+        try {
+            Class<?> signalType = Class.forName("sun.misc.Signal");
+            Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
+            Object signal = signalType.getConstructor(String.class).newInstance(name);
+            signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, handler(handlerType, action));
+        } catch (InvocationTargetException e) {
+            throw new IllegalStateException("SIG" + name + " can't be handled", e.getCause());
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("this Java runtime can't handle signals", e);
+        }
+    }
+
+    private static Object handler(Class<?> handlerType, Runnable action) {
+        InvocationHandler handler = (self, method, arguments) -> {
+            if (method.getName().equals("handle")) {
+                action.run();
+            }
+            return null;
+        };
+        return Proxy.newProxyInstance(null, new Class<?>[] {handlerType}, handler);
+    }
+}
--- a/src/test/java/beechfall/proxy/ConfigTest.java
+++ b/src/test/java/beechfall/proxy/ConfigTest.java
@@ -28,13 +28,13 @@
     }
 
     @Test
-    void aListThatHasChangedWasHadInAnEarlierLife() throws Exception {
+    void aListThatHasChangedTellsARestartFromAFirstStart() throws Exception {
         ObjectNode json = Fixture.config();
-        assertThat(Config.parse(json).isFirstLife()).isFalse();
+        assertThat(Config.parse(json).isFirstStart()).isFalse();
         ((ObjectNode) json.get("known")).put("version", 0);
-        assertThat(Config.parse(json).isFirstLife()).isTrue();
+        assertThat(Config.parse(json).isFirstStart()).isTrue();
         json.remove("known");
-        assertThat(Config.parse(json).isFirstLife()).isTrue();
+        assertThat(Config.parse(json).isFirstStart()).isTrue();
     }
 
     @ParameterizedTest
