Read a replaced configuration file where SIGHUP is inherited as ignored

Cause: HotSpot leaves SIGHUP, SIGINT and SIGTERM ignored where the process inherits them so. A probe under "trap '' HUP TERM INT" showed Signal.handle returning SIG_IGN at the first and at a second call, SigIgn of /proc/self/status unchanged, no handler run, and SIGTERM neither ending the process nor starting its shutdown hooks. Serve took no notice: no reload ever happened, and nothing said so.

Change: SignalHandlers.install returns whether the signal can be received. Where SIGHUP can't, the log says so once and ConfigFileWatcher polls the file's inode, modification time and size every 200 ms on a thread of its own; an invalid file is read again at each poll and logged once for each state. Where SIGHUP works nothing is polled. An ignored SIGTERM can't be mended from Java; the log says at the start that only SIGKILL ends the process.

Without the polling readsAReplacedFileWhereSighupIsIgnored fails, with the SIGTERM report inverted tellsThatSigtermIsIgnored and readsItsFileAgainOnSighupOnly fail.

--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -64,7 +64,8 @@
             var serve = new Serve(config);
             // Before it listens: without a handler either signal ends the process, whatever it has taken by then.
             Runtime.getRuntime().addShutdownHook(new Thread(serve::drainAndHalt, "drain"));
-            SignalHandlers.install(SignalHandlers.RELOAD, () -> serve.reload(file));
+            serve.handleTermination();
+            serve.handleReload(file);
             serve.start();
         } catch (Config.BadConfig e) {
             exit(e);
@@ -100,12 +101,33 @@
         Runtime.getRuntime().halt(2);
     }
 
+    /** The runtime's own handler does the same; installing one shows whether the signal can be received at all. */
+    private void handleTermination() {
+        if (!SignalHandlers.install(SignalHandlers.TERMINATE, () -> System.exit(0))) {
+            report("SIGTERM is inherited as ignored: nothing but SIGKILL ends this process, and without a drain");
+        }
+    }
+
+    /** Reloads at each signal, or where it can't be received at each replacement of the file, but never at both. */
+    private void handleReload(Path file) {
+        if (SignalHandlers.install(SignalHandlers.RELOAD, () -> reload(file))) {
+            return;
+        }
+        report("SIGHUP is inherited as ignored: " + file + " is polled every " + ConfigFileWatcher.POLL_INTERVAL_MS
+                + " ms for a new configuration");
+        new ConfigFileWatcher(file, config, this::apply, this::rejectConfig).start();
+    }
+
     private void drainAndHalt() {
         drain();
         // All is answered and nothing is left to be tidied up.
         Runtime.getRuntime().halt(0);
     }
 
+    private void report(String text) {
+        loop.execute(() -> log.line(config.name() + ": " + text));
+    }
+
     ChannelFuture listen() {
         loop.execute(() -> discovery.known(config.known()));
         if (discovery.pushed()) {
--- a/src/main/java/beechfall/proxy/SignalHandlers.java
+++ b/src/main/java/beechfall/proxy/SignalHandlers.java
@@ -7,24 +7,36 @@
 /**
  * Installs handlers for POSIX signals. The one way to receive signals in Java 17 is {@code sun.misc.Signal}; it is
  * called by reflection, as the compiler's warning about it can't be suppressed.
+ *
+ * <p>A process inherits which signals are ignored ({@code nohup}, some supervisors). HotSpot leaves SIGHUP, SIGINT and
+ * SIGTERM ignored where it finds them so: no handler takes effect, not at a second call either, and the runtime's own,
+ * which starts the shutdown hooks, is missing too.
  */
 final class SignalHandlers {
     /** Reload of the configuration. */
     static final String RELOAD = "HUP";
 
+    /** Orderly termination. */
+    static final String TERMINATE = "TERM";
+
     private SignalHandlers() {}
 
     /**
      * Has each signal of a name run an action, on a thread of its own, in place of what the runtime does.
      *
      * @param name without the prefix {@code SIG}
+     * @return false if the signal is inherited as ignored: the action never runs
      */
-    static void install(String name, Runnable action) {
+    static boolean install(String name, Runnable action) {
         try {
             Class<?> signalType = Class.forName("sun.misc.Signal");
             Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
             Object signal = signalType.getConstructor(String.class).newInstance(name);
-            signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, handler(handlerType, action));
+            Object previous = signalType
+                    .getMethod("handle", signalType, handlerType)
+                    .invoke(null, signal, handler(handlerType, action));
+            Object ignored = handlerType.getField("SIG_IGN").get(null);
+            return previous != ignored;
         } catch (InvocationTargetException e) {
             throw new IllegalStateException("SIG" + name + " can't be handled", e.getCause());
         } catch (ReflectiveOperationException e) {
