--- a/src/test/java/beechfall/proxy/DescriptorReserveTest.java
+++ b/src/test/java/beechfall/proxy/DescriptorReserveTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -85,7 +86,7 @@
         int most = LIMIT + ServeProcess.FURTHER_JARS;
         try (var backend = new Peer();
                 var discovery = new Peer();
-                var proxy = new ServeProcess(folder, config(discovery, LIMIT), most)) {
+                var proxy = start(folder, config(discovery, LIMIT), most)) {
             backend.always(Peer.ok("served"));
             String[] entries = IntStream.range(0, LIMIT)
                     .mapToObj(i -> Fixture.entry("s" + i, backend.address(), "ready"))
@@ -105,7 +106,7 @@
                 assertThat(proxy.descriptors()).isLessThanOrEqualTo(most);
                 Peer.until(() -> answers(port, Fixture.get(kind), 200));
             }
-            assertThat(proxy.log()).doesNotContain(SHORTAGE);
+            assertThat(proxy.logs(SHORTAGE)).isFalse();
         }
     }
 
@@ -116,7 +117,7 @@
                 var proxy = starved(folder, discovery)) {
             int port = proxy.port();
             crowd(port, LIMIT, "");
-            Peer.until(() -> proxy.log().contains(SHORTAGE));
+            proxy.awaitLog(SHORTAGE);
             dispersed();
             Peer.until(() -> answers(port, READY, 503));
         }
@@ -133,7 +134,7 @@
             crowd(port, LIMIT, "");
             Peer.until(() -> proxy.descriptors() == LIMIT / 2);
             call.close();
-            Peer.until(() -> proxy.log().contains("no connection"));
+            proxy.awaitLog("no connection");
             dispersed();
             assertThat(discovery.accept().read()).isNotNull();
         }
@@ -141,7 +142,11 @@
 
     /** Starts a proxy that is told of far more descriptors than it gets. */
     private static ServeProcess starved(Path folder, Peer discovery) throws IOException {
-        return new ServeProcess(folder, config(discovery, 1_024), LIMIT / 2);
+        return start(folder, config(discovery, 1_024), LIMIT / 2);
+    }
+
+    private static ServeProcess start(Path folder, String config, int descriptors) throws IOException {
+        return ServeProcess.start(Files.writeString(folder.resolve("config.json"), config), descriptors);
     }
 
     private static String config(Peer discovery, int limit) {
--- a/src/test/java/beechfall/proxy/ServeProcess.java
+++ b/src/test/java/beechfall/proxy/ServeProcess.java
@@ -1,38 +1,83 @@
 package beechfall.proxy;
 
+import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.File;
 import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.jar.JarEntry;
+import java.util.jar.JarOutputStream;
 import java.util.stream.Stream;
 
-/** The program as it runs in service, with a limit of descriptors that the kernel enforces. */
+/** The program as the {@code run} command of {@code deploy/balancer.toml} starts it, with the classes under test. */
 final class ServeProcess implements Closeable {
-    static final String CONFIG = "config.json";
-
-    private static final String CLASS_PATH = System.getProperty("java.class.path");
+    private static final String LISTENING = "listening on ";
+    private static final String CLASS_PATH = classPath();
     /** In service all classes are in one jar; here each jar of the class path takes a descriptor. */
     static final int FURTHER_JARS = (int) jars(Arrays.stream(CLASS_PATH.split(File.pathSeparator, -1))) - 1;
 
-    private static final String LISTENING = "listening on ";
-
     private final Process process;
-    private final Path log;
+    private final List<String> log = new CopyOnWriteArrayList<>();
+
+    private ServeProcess(Process process) {
+        this.process = process;
+        Peer.background(this::keepLog);
+    }
+
+    /**
+     * Starts the program, whatever signals the tests themselves are started without.
+     *
+     * @param shell runs first, in the shell that becomes the program
+     */
+    static ServeProcess start(Path config, String shell) throws IOException {
+        String run = Files.readAllLines(Path.of("deploy", "balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = "))
+                .findFirst()
+                .orElseThrow()
+                .replaceAll("^run = \"|\"$", "")
+                .replace("exec java", "exec '" + Path.of(System.getProperty("java.home"), "bin", "java") + "'")
+                .replace("-jar target/beechfall.jar", "-cp \"$TEST_CLASS_PATH\" beechfall.Main");
+        var command = new ProcessBuilder("env", "--default-signal=HUP,INT,TERM", "/bin/sh", "-c", shell + run)
+                .redirectErrorStream(true);
+        command.environment().put("TEST_CLASS_PATH", CLASS_PATH);
+        command.environment().put("PROXY_CONFIG", config.toString());
+        return new ServeProcess(command.start());
+    }
+
+    /** Starts the program with a limit of descriptors that the kernel enforces. */
+    static ServeProcess start(Path config, int descriptors) throws IOException {
+        return start(config, "ulimit -n " + descriptors + "; ");
+    }
+
+    private void keepLog() throws IOException {
+        try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8)) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                log.add(line);
+            }
+        }
+    }
 
-    ServeProcess(Path folder, String config, int descriptors) throws IOException {
-        log = folder.resolve("log");
-        ProcessBuilder command = command(folder, config);
-        command.command().addAll(0, List.of("/bin/sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh"));
-        process = command.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    /** Waits until a line of the log holds a text. */
+    void awaitLog(String text) throws InterruptedException {
+        Peer.until(() -> logs(text));
     }
 
-    /** Starts it without a limit of its own. */
-    static Process start(Path folder, String config) throws IOException {
-        return command(folder, config).inheritIO().start();
+    /** Returns whether a line of the log holds a text. */
+    boolean logs(String text) {
+        return log.stream().anyMatch(line -> line.contains(text));
+    }
+
+    /** Waits until it says where it listens. */
+    int port() throws InterruptedException {
+        awaitLog(LISTENING);
+        String line =
+                log.stream().filter(l -> l.contains(LISTENING)).findFirst().orElseThrow();
+        return Integer.parseInt(line.replaceAll(".*" + LISTENING + "(\\d+).*", "$1"));
     }
 
     /** Returns the number of descriptors that it holds. */
@@ -51,19 +96,16 @@
         }
     }
 
-    /** Returns what it has logged. */
-    String log() {
-        try {
-            return Files.readString(log);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .inheritIO()
+                .start()
+                .waitFor();
     }
 
-    /** Waits until it says where it listens. */
-    int port() throws InterruptedException {
-        Peer.until(() -> log().matches("(?s).*" + LISTENING + "\\d+\\D.*"));
-        return Integer.parseInt(log().replaceAll("(?s).*" + LISTENING + "(\\d+)\\D.*", "$1"));
+    int awaitExit() throws InterruptedException {
+        Peer.until(() -> !process.isAlive());
+        return process.exitValue();
     }
 
     @Override
@@ -84,16 +126,30 @@
         }
     }
 
-    private static ProcessBuilder command(Path folder, String config) throws IOException {
-        Path file = Files.writeString(folder.resolve(CONFIG), config);
-        var command = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                CLASS_PATH,
-                "beechfall.Main",
-                "serve");
-        command.environment().put("PROXY_CONFIG", file.toString());
-        return command;
+    /** As in service the classes come from a jar that stays open: loading one late takes no descriptor. */
+    private static String classPath() {
+        String[] parts = System.getProperty("java.class.path").split(File.pathSeparator, -1);
+        Path classes = Path.of("target", "classes").toAbsolutePath();
+        return String.join(
+                File.pathSeparator,
+                Arrays.stream(parts)
+                        .map(part -> Path.of(part).equals(classes) ? jar(classes) : part)
+                        .toList());
+    }
+
+    private static String jar(Path classes) {
+        try (Stream<Path> files = Files.walk(classes)) {
+            Path jar = Files.createTempFile("classes", ".jar");
+            jar.toFile().deleteOnExit();
+            try (var out = new JarOutputStream(Files.newOutputStream(jar))) {
+                for (Path file : files.filter(Files::isRegularFile).toList()) {
+                    out.putNextEntry(new JarEntry(classes.relativize(file).toString()));
+                    Files.copy(file, out);
+                }
+            }
+            return jar.toString();
+        } catch (IOException e) {
+            throw new IllegalStateException("the classes can't be packed", e);
+        }
     }
 }
