Let nobody in where SIGTERM came before the process listens

Cause: told to end while it waited for its agent, a process listened all the same. Change: Serve.start looks whether the shutdown has begun, and returns without an address then. Measured: ServeTest.doesNotListenOnceItIsToldToEnd fails without the change; ServeTest and SignalHandlersTest pass with it.

--- a/src/main/java/beechfall/proxy/GracefulShutdown.java
+++ b/src/main/java/beechfall/proxy/GracefulShutdown.java
@@ -28,6 +28,7 @@
     private final Frontend frontend;
     private final Proxy proxy;
     private final CountDownLatch drained = new CountDownLatch(1);
+    private volatile boolean begun;
 
     GracefulShutdown(EventLoop loop, Log log, Config config, Frontend frontend, Proxy proxy) {
         this.loop = loop;
@@ -39,6 +40,7 @@
 
     /** Drains, and returns when no client is connected any more or the time is up. */
     void run() {
+        begun = true;
         long deadlineMs = Math.min(MAX_DEADLINE_MS, longestDeadlineMs());
         loop.execute(() -> {
             log.line(config.name() + ": draining");
@@ -51,6 +53,11 @@
         awaitDrained(deadlineMs + EXIT_DELAY_MS);
     }
 
+    /** Returns whether the process has been told to end; from any thread. */
+    boolean hasBegun() {
+        return begun;
+    }
+
     private long longestDeadlineMs() {
         long longestUs = config.settings().classes().stream()
                 .mapToLong(Balancer.RequestClass::deadlineUs)
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Runs one real proxy: puts its parts together, reads a new configuration, and ends when it is told to. */
@@ -143,16 +144,25 @@
         return frontend.listen(transport, config.listen());
     }
 
-    /** Begins to serve; returns the address. */
-    InetSocketAddress start() throws Config.BadConfig {
+    /**
+     * Begins to serve.
+     *
+     * @return the address, or empty where the process was told to end meanwhile: nobody is let in then
+     * @throws Config.BadConfig if the address can't be listened on
+     */
+    Optional<InetSocketAddress> start() throws Config.BadConfig {
         ChannelFuture bound = listen().awaitUninterruptibly();
+        if (shutdown.hasBegun()) {
+            bound.channel().close();
+            return Optional.empty();
+        }
         if (!bound.isSuccess()) {
             throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
         }
         var address = (InetSocketAddress) bound.channel().localAddress();
         loop.execute(() -> log.line(config.name() + ": listening on " + address.getPort()
                 + (config.isFirstStart() ? "" : ", back with a list that it had")));
-        return address;
+        return Optional.of(address);
     }
 
     /**
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -104,7 +104,7 @@
                 actions.accept(action);
             });
         });
-        address = serve.start();
+        address = serve.start().orElseThrow();
     }
 
     static JsonNode json(String text) throws IOException {
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -41,6 +41,19 @@
         }
     }
 
+    /** Told to end while it waits for its agent: it lets nobody in, and that is no fault of its configuration. */
+    @Test
+    void doesNotListenOnceItIsToldToEnd() throws Exception {
+        Config config = Config.parse(Fixture.config());
+        var serve = new Serve(config);
+        try {
+            serve.drain();
+            assertThat(serve.start()).isEmpty();
+        } finally {
+            serve.stop();
+        }
+    }
+
     /** Rule 1 at a restart: what is taken is answered, new clients are served while the front still sends them. */
     @Test
     void answersAllThatItHasTakenBeforeItEnds() throws Exception {
