Read a client's channel for its close before an attempt of a request that has waited

Cause: a client's close was known only once the loop had read it. While one batch of the selector held the loop, an answer of a backend could bring the first attempt of a queued request, or a retry, and a connect could come up, with the close of that request's client unread in the kernel: Proxy.send and Attempt.connected looked at what was read alone.

Change: Proxy.send, before it asks for an attempt, and Attempt.connected, before the request is written, have the client's channel read once (Reply.pollClient, Transport.readNow), unless it was read in the last 20 ms, as it was for an attempt sent right upon arrival. A client that has ended its sending or was reset is reported by clientGone first, and the attempt ends as NOT_SENT. A reset makes channelInactive follow as a task, so the exchange is given up at once. Channels inside the process (warm-up) are left alone. A connection that came up for a client that has left is closed, as before where the close was known. A close behind more than one read's worth of data may still be missed.

Measured: LeavingTest holds the loop by a latch while the client closes, resets or ends its sending: a queued request, a retry, and a connect that comes up meanwhile, nine cases.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -136,13 +136,17 @@
         }
     }
 
-    /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
-    Attempt attempt(String id, Outgoing outgoing, long timeoutUs, End end) {
+    /**
+     * Returns an attempt that is yet to be started, or null where there is no such backend or no socket left.
+     *
+     * @param beforeWrite runs once the attempt has its connection, right before the request is written; it may abort it
+     */
+    Attempt attempt(String id, Outgoing outgoing, long timeoutUs, Runnable beforeWrite, End end) {
         Target target = targets.get(id);
         if (target == null || !target.ready || (!target.pool.hasIdle() && !limiter.admitsBackend())) {
             return null;
         }
-        return new Attempt(target, outgoing, timeoutUs, end);
+        return new Attempt(target, outgoing, timeoutUs, beforeWrite, end);
     }
 
     /** One backend. */
@@ -255,6 +259,7 @@
         private final Target target;
         private final Outgoing outgoing;
         private final long timeoutUs;
+        private final Runnable beforeWrite;
         private final End end;
         private long startedAt;
         private Future<?> timer;
@@ -263,10 +268,11 @@
         private boolean written;
         private boolean ended;
 
-        private Attempt(Target target, Outgoing outgoing, long timeoutUs, End end) {
+        private Attempt(Target target, Outgoing outgoing, long timeoutUs, Runnable beforeWrite, End end) {
             this.target = target;
             this.outgoing = outgoing;
             this.timeoutUs = timeoutUs;
+            this.beforeWrite = beforeWrite;
             this.end = end;
         }
 
@@ -288,6 +294,9 @@
 
         private void connected(Future<Channel> f) {
             connecting = null;
+            if (f.isSuccess() && !ended) {
+                beforeWrite.run();
+            }
             if (!f.isSuccess()) {
                 end(Outcome.CONNECT_FAILED, null);
             } else if (ended) {
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -66,6 +66,8 @@
     private static final long DROPPED = 256 * 1024;
 
     private static final long LINGER_US = 1_000_000;
+    /** A client's channel that was read so lately is not read again before an attempt; well under the 0.1 s allowed. */
+    private static final long FRESH_US = 20_000;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 2;
 
@@ -185,6 +187,8 @@
         private Exchange exchange;
         private long firstByteAt = -1;
         private long lastReadAt;
+        /** When the channel was last read, in microseconds. */
+        private long polledAt;
         /** Since when nothing is open here: the connect, or the last answer. */
         private long idleSince;
 
@@ -216,6 +220,23 @@
             super.channelRead(ctx, message);
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+            polledAt = clock.now();
+            super.channelReadComplete(ctx);
+        }
+
+        /** Reads the channel once, where that was not done just before; a close behind more than that stays unseen. */
+        private void poll() {
+            if (channel.isActive() && clock.now() - polledAt >= FRESH_US) {
+                Transport.readNow(channel);
+            }
+            if (!channel.isActive()) {
+                // Its event is yet to come.
+                abandon();
+            }
+        }
+
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
             if (event instanceof ChannelInputShutdownEvent) {
@@ -250,12 +271,17 @@
             if (parting != null && partedAt < 0) {
                 parting.release();
             }
+            abandon();
+            super.channelInactive(ctx);
+        }
+
+        /** Nobody is left to be answered. */
+        private void abandon() {
             if (exchange != null) {
                 Exchange gone = exchange;
                 exchange = null;
                 gone.clientGone();
             }
-            super.channelInactive(ctx);
         }
 
         void request(FullHttpRequest request) {
@@ -585,6 +611,13 @@
             return Long.parseLong(m.group(1)) * (m.group(2).equals("m") ? 1_000 : 1);
         }
 
+        @Override
+        public void pollClient() {
+            if (connection.exchange == this) {
+                connection.poll();
+            }
+        }
+
         @Override
         public void served(Backends.Answer served) {
             var answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, served.body());
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -20,8 +20,14 @@
  * It decides nothing. All of it runs on the one event loop.
  */
 final class Proxy {
-    /** The client's side of a request. Exactly one of the three is called, once. */
+    /** The client's side of a request. Exactly one of the last three is called, once. */
     interface Reply {
+        /**
+         * Reads what the client has sent, unless that was done a moment ago: its close may lie unread while the loop is
+         * busy. Where the client has left, {@link Proxy#clientGone} is called before this returns.
+         */
+        void pollClient();
+
         void served(Backends.Answer answer);
 
         void refused(long retryAfterUs);
@@ -292,11 +298,16 @@
         long left = r.incoming.deadlineUs() - clock.now();
         long timeoutUs = send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left);
         Backends.Attempt attempt = null;
-        if (!r.over && number < limits.maxAttempts() && timeoutUs > 0 && (r.out == 0 || limits.secondCopies())) {
+        boolean allowed = number < limits.maxAttempts() && timeoutUs > 0 && (r.out == 0 || limits.secondCopies());
+        if (!r.over && allowed) {
+            r.reply.pollClient();
+        }
+        if (!r.over && allowed) {
             attempt = backends.attempt(
                     send.backend(),
                     r.incoming.outgoing(),
                     timeoutUs,
+                    r.reply::pollClient,
                     (outcome, latencyUs, answer) -> ended(r, number, send.backend(), outcome, latencyUs, answer));
         }
         r.attempts.add(attempt);
--- a/src/main/java/beechfall/proxy/Transport.java
+++ b/src/main/java/beechfall/proxy/Transport.java
@@ -95,6 +95,17 @@
                 c -> true);
     }
 
+    /**
+     * Reads what a socket has received, an end or a reset too, ahead of the loop's next selection. Its handlers run before
+     * this returns, but for {@code channelInactive}, which follows as a task. Channels inside the process are left alone.
+     * Not to be called while the channel is being read.
+     */
+    static void readNow(Channel channel) {
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+    }
+
     SocketAddress address(InetSocketAddress address) {
         return addresses.apply(address);
     }
--- a/src/test/java/beechfall/proxy/Crowded.java
+++ b/src/test/java/beechfall/proxy/Crowded.java
@@ -31,6 +31,15 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
+    /** Makes room, and returns the connection of whoever has waited: it comes up as its SYN is sent again. */
+    Wire admit() throws IOException {
+        server.setSoTimeout(10_000);
+        for (int i = 0; i < crowd.size(); i++) {
+            server.accept().close();
+        }
+        return new Wire(server.accept());
+    }
+
     @Override
     public void close() throws IOException {
         for (Socket socket : crowd) {
--- a/src/test/java/beechfall/proxy/LeavingTest.java
+++ b/src/test/java/beechfall/proxy/LeavingTest.java
@@ -10,8 +10,13 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients that leave while their requests wait, and those that only end their sending. */
@@ -25,6 +30,112 @@
         client.close();
     }
 
+    private static UnaryOperator<String> knowing(Crowded backend) {
+        String list = "\"servers\":[" + Fixture.entry("s0", backend.address(), "ready") + "]";
+        return c -> Fixture.PATIENT.apply(c).replace("\"servers\":[]", list);
+    }
+
+    /** Holds the proxy's loop up. */
+    private static void hold(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(10, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Leaves, and waits until the proxy has not read the connection for long enough to do so before an attempt. */
+    private static void leaveUnread(Wire client, String how) throws Exception {
+        if (how.equals("end")) {
+            client.socket.shutdownOutput();
+        } else {
+            leave(client, how.equals("reset"));
+        }
+        long from = System.nanoTime();
+        Peer.until(() -> System.nanoTime() - from > 40_000_000);
+    }
+
+    /**
+     * The loop is held up as the client leaves: then an answer to {@code r1} brings the first attempt of {@code r2}, which
+     * was queued, or a retry of {@code r1}.
+     */
+    @ParameterizedTest
+    @CsvSource({"r2,close", "r2,reset", "r2,end", "r1,close", "r1,reset", "r1,end"})
+    @Timeout(30)
+    void noAttemptBeginsWhereTheCloseLiesUnread(String id, String how) throws Exception {
+        var release = new CountDownLatch(1);
+        Fixture.Module module = (event, actions) -> {
+            if (event instanceof Arrival a && !a.id().equals("r2")) {
+                actions.accept(new Send(a.id(), "s0", 0));
+            } else if (event instanceof AttemptEnded e && e.outcome() == Outcome.ERROR) {
+                hold(release);
+                actions.accept(new Send(id, "s0", 0));
+            }
+        };
+        try (var backend = new Peer();
+                var proxy = new Fixture(module, Fixture.PATIENT, backend);
+                var first = proxy.client().send(Fixture.patient("r1"));
+                var queued = proxy.client()) {
+            Wire attempt = backend.accept();
+            attempt.read();
+            queued.send(Fixture.patient("r2"));
+            while (!proxy.next(Arrival.class).id().equals("r2")) {
+                // the one before
+            }
+            try {
+                attempt.send(Peer.answer("500 Internal Server Error", "x"));
+                proxy.next(AttemptEnded.class);
+                leaveUnread(id.equals("r1") ? first : queued, how);
+            } finally {
+                release.countDown();
+            }
+            try (var next = proxy.client()) {
+                next.send(Fixture.patient("next"));
+                assertThat(attempt.read().header("X-Request-ID")).isEqualTo("next");
+                assertThat(proxy.next(ClientGone.class).id()).isEqualTo(id);
+                AttemptEnded end = proxy.next(AttemptEnded.class);
+                assertThat(end.id()).isEqualTo(id);
+                assertThat(end.outcome()).isEqualTo(Outcome.NOT_SENT);
+                assertThat(end.last()).isTrue();
+            }
+        }
+    }
+
+    /** The connection to the backend comes up before the client leaves, and both lie unread. */
+    @ParameterizedTest
+    @ValueSource(strings = {"close", "reset", "end"})
+    @Timeout(30)
+    void nothingIsWrittenToANewConnectionWhereTheCloseLiesUnread(String how) throws Exception {
+        var release = new CountDownLatch(1);
+        Fixture.Module module = (event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("hold")) {
+                hold(release);
+            } else {
+                Fixture.sendTo("s0").handle(event, actions);
+            }
+        };
+        try (var backend = new Crowded();
+                var proxy = new Fixture(module, knowing(backend));
+                var client = proxy.client().send(Fixture.patient("r1"));
+                var holding = proxy.client()) {
+            proxy.next(Arrival.class);
+            proxy.settle();
+            Wire attempt;
+            try {
+                holding.send(Fixture.patient("hold"));
+                proxy.next(Arrival.class);
+                attempt = backend.admit();
+                leaveUnread(client, how);
+            } finally {
+                release.countDown();
+            }
+            try (attempt) {
+                assertThat(attempt.ended()).isTrue();
+            }
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
+        }
+    }
+
     /** With the module that is in service: what is left of the queue is sent when there is room, and the rest is not. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -108,11 +219,7 @@
                                 actions.accept(new Send(e.id(), "s0", 0));
                             }
                         },
-                        c -> Fixture.PATIENT
-                                .apply(c)
-                                .replace(
-                                        "\"servers\":[]",
-                                        "\"servers\":[" + Fixture.entry("s0", full.address(), "ready") + "]"))) {
+                        knowing(full))) {
             Wire client = proxy.client().send(Fixture.patient("r1"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
             client.close();
