Test that a returning process is ready by the list that it had, however discovery fails

Cause: no test held the readiness of a restarted process to its bound where discovery is silent, refuses or answers rubbish. Change: DiscoveryTest forces each, for pushed lists and for those that are asked for; a repeated edit of the configuration is shared. Measured: the six cases pass on the code as it stands; they are a guard.

--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The watch on the list of backends, with discovery played by the test. */
@@ -67,6 +68,43 @@
         }
     }
 
+    /** A process that has come back is ready by the list that it had, however its first call to discovery fails. */
+    @ParameterizedTest
+    @CsvSource({
+        "pushed,''",
+        "pushed,'HTTP/1.1 503 Busy'",
+        "pushed,'rubbish'",
+        "on_request,''",
+        "on_request,'HTTP/1.1 503 Busy'",
+        "on_request,'rubbish'"
+    })
+    void isReadyByTheListThatItHadWhereDiscoveryFails(String mode, String answer) throws Exception {
+        Fixture.Module asksOnce = (event, actions) -> {
+            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                actions.accept(new Watch(true));
+            }
+        };
+        try (var backend = new Peer();
+                var discovery = new Peer()) {
+            discovery.always(answer);
+            try (var proxy = new Fixture(asksOnce, c -> at(discovery, c).replace("on_request", mode), backend)) {
+                Peer.until(() -> isReady(proxy));
+            }
+        }
+    }
+
+    private static String at(Peer discovery, String config) {
+        return config.replaceFirst("discovery\":\"[^\"]+", "discovery\":\"" + discovery.address());
+    }
+
+    private static boolean isReady(Fixture proxy) {
+        try {
+            return ready(proxy).status() == 200;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void tellsChangesAndWholeLists() throws Exception {
         try (var proxy = new Fixture(watcher())) {
@@ -260,9 +298,7 @@
             });
             try (var proxy = new Fixture(
                     (event, actions) -> {},
-                    c -> c.replace("on_request", "pushed")
-                            .replace("127.0.0.1:0", "127.0.0.1:" + port)
-                            .replaceFirst("discovery\":\"[^\"]+", "discovery\":\"" + discovery.address()),
+                    c -> at(discovery, c).replace("on_request", "pushed").replace("127.0.0.1:0", "127.0.0.1:" + port),
                     backend)) {
                 assertThat(proxy.events)
                         .extracting(e -> ((Members) e).kind())
