Take no request on a client's connection that is closing behind unread answers

Cause: Connection.close(), by which a drain closes idle connections and which answers a client's end of sending, waits for the output before it but did not mark the connection as ending. With a client slow to read, a request that came meanwhile was sent on, and its answer was lost with the connection. Change: close() marks the connection as ending, as a last answer does; what is read after that is not taken.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -237,8 +237,9 @@
             }
         }
 
-        /** Closes the connection after what is still being written. */
+        /** Closes the connection after what is still being written; what is read meanwhile is not taken any more. */
         private void close() {
+            ends = true;
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
 
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -21,6 +22,10 @@
     /** Asked of a proxy that is not ready; the answer keeps the connection. */
     private static final String READY = "GET /ready HTTP/1.1\r\n\r\n";
 
+    private static final String LONGEST_BODY = "x".repeat(Backends.MAX_BODY);
+    /** So many answers with such a body are more than the kernel holds for both sides. */
+    private static final int MORE_THAN_THE_KERNEL_HOLDS = 150;
+
     /** All of it together, with the module that is in service: it watches, serves, tries elsewhere, and refuses. */
     @Test
     void servesWithTheModule() throws Exception {
@@ -119,9 +124,6 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void finishesTheAnswersThatClientsAreSlowToRead(boolean crowd) throws Exception {
-        String body = "x".repeat(65_536);
-        // More than the kernel holds for both sides.
-        int answers = 150;
         var clients = new ArrayList<Wire>();
         try (var backend = new Peer();
                 var proxy = new Fixture(
@@ -134,12 +136,8 @@
                         15_000_000,
                         backend);
                 var slow = proxy.client()) {
-            backend.always(Peer.ok(body));
-            for (int i = 0; i < answers; i++) {
-                slow.send(Fixture.get("r" + i));
-                proxy.next(AttemptEnded.class);
-                proxy.settle();
-            }
+            backend.always(Peer.ok(LONGEST_BODY));
+            leaveUnread(proxy, slow, MORE_THAN_THE_KERNEL_HOLDS);
             CompletableFuture<Void> drained = CompletableFuture.completedFuture(null);
             if (crowd) {
                 // All of them hold a request: the one that holds none is to make room.
@@ -156,9 +154,7 @@
                 drained = CompletableFuture.runAsync(proxy::drain);
                 assertThat(idle.ended()).isTrue();
             }
-            for (int i = 0; i < answers; i++) {
-                assertThat(slow.read().body()).hasSize(body.length());
-            }
+            readAll(slow, MORE_THAN_THE_KERNEL_HOLDS);
             drained.get(10, TimeUnit.SECONDS);
         } finally {
             for (Wire client : clients) {
@@ -169,28 +165,56 @@
 
     /** What comes while a connection's last answer is still being written would be sent on, and lost with the connection. */
     @Test
+    @Timeout(30)
     void nothingBeginsBehindALastAnswer() throws Exception {
-        String body = "x".repeat(65_536);
-        // More than the kernel holds for both sides.
-        int answers = 150;
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var slow = proxy.client()) {
-            backend.always(Peer.ok(body));
-            for (int i = 1; i < answers; i++) {
-                slow.send(Fixture.get("r" + i));
-                proxy.next(AttemptEnded.class);
-                proxy.settle();
-            }
+            backend.always(Peer.ok(LONGEST_BODY));
+            leaveUnread(proxy, slow, MORE_THAN_THE_KERNEL_HOLDS - 1);
             slow.send(Fixture.get("last").replace("Host:", "Connection: close\r\nHost:"));
             proxy.next(AttemptEnded.class);
             slow.send(Fixture.get("behind"));
             proxy.settle();
             assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
-            for (int i = 0; i < answers; i++) {
-                assertThat(slow.read().body()).hasSize(body.length());
-            }
+            readAll(slow, MORE_THAN_THE_KERNEL_HOLDS);
+            assertThat(slow.ended()).isTrue();
+        }
+    }
+
+    /** As above, where a drain closes a connection that holds no request: the close waits for the answers before it. */
+    @Test
+    @Timeout(30)
+    void nothingBeginsOnAConnectionThatADrainCloses() throws Exception {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var slow = proxy.client();
+                var idle = proxy.client()) {
+            backend.always(Peer.ok(LONGEST_BODY));
+            leaveUnread(proxy, slow, MORE_THAN_THE_KERNEL_HOLDS);
+            idle.send(READY).read();
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
+            assertThat(idle.ended()).isTrue();
+            slow.send(Fixture.get("behind"));
+            readAll(slow, MORE_THAN_THE_KERNEL_HOLDS);
             assertThat(slow.ended()).isTrue();
+            drained.get(10, TimeUnit.SECONDS);
+            assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
+        }
+    }
+
+    /** Has requests answered whose answers the client does not read. */
+    private static void leaveUnread(Fixture proxy, Wire client, int answers) throws Exception {
+        for (int i = 0; i < answers; i++) {
+            client.send(Fixture.get("r" + i));
+            proxy.next(AttemptEnded.class);
+            proxy.settle();
+        }
+    }
+
+    private static void readAll(Wire client, int answers) throws IOException {
+        for (int i = 0; i < answers; i++) {
+            assertThat(client.read().body()).isEqualTo(LONGEST_BODY);
         }
     }
 
