Read on for a while behind every last answer instead of closing at once

Cause: an answer that is its connection's last (a crowd, a drain's end, a client's Connection: close) was followed by a close. With bytes of the client unread the kernel then resets the connection, and what a slow client had yet to read was cut off. An error that ended its connection was itself cut off 1 s on if earlier answers were still unread. Change: all of them end as errors did: the sending is shut behind the last write, the rest is read and dropped for at most LINGER_US and DROPPED bytes, and the connection may be evicted meanwhile. A connection that is ending decodes nothing more, so no 408 goes out behind its last answer.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -62,10 +61,15 @@
     private static final long WHOLE_US = 2_200_000;
     /** A client that takes nothing of its answer for so long has gone. */
     private static final long UNREAD_US = 10_000_000;
-    /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
+    /** What the client sends behind its last answer is dropped, up to so many bytes: see {@code closeAfter}. */
     private static final long DROPPED = 256 * 1024;
-
+    /** How long a connection stays open for reading after its last answer, at most. */
     private static final long LINGER_US = 1_000_000;
+    /**
+     * A client that has taken its last answer has closed by then, which takes a round trip: the 50 ms that the protocol
+     * allows on every time limit, for either direction. A drain does not wait for it any longer.
+     */
+    private static final long CLIENT_CLOSE_US = 100_000;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 2;
 
@@ -76,7 +80,11 @@
     private final BooleanSupplier ready;
     private final Map<String, Balancer.Effect> effects = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
+    /** The connections on which something may still be asked, answered or read by the client. */
     private final Set<Connection> connections = new HashSet<>();
+    /** Those that were closed for sending, and whose clients have not closed them in the time for it. */
+    private final Set<Connection> lingering = new HashSet<>();
+
     private Channel listener;
     private boolean leaving;
     private boolean closing;
@@ -127,6 +135,7 @@
     /** One timer for all: one for each connection would have to be set anew with each request. */
     private void sweep() {
         long now = clock.now();
+        List.copyOf(lingering).forEach(c -> c.expire(now));
         List.copyOf(connections).forEach(c -> c.expire(now));
     }
 
@@ -190,9 +199,13 @@
 
         private boolean used;
         private boolean left;
+        /** The last answer has been written, or nothing more will be: what comes is neither decoded nor taken. */
         private boolean ends;
+        /** An error that waits for the answers before it, to be the last. */
         private FullHttpResponse parting;
-        private long partedAt = -1;
+        /** Since when the connection is only read from, or -1. */
+        private long lingersSince = -1;
+
         private long dropped;
 
         @Override
@@ -206,7 +219,7 @@
         /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            if (parting != null) {
+            if (parting != null || ends) {
                 drop((ByteBuf) message);
                 return;
             }
@@ -239,16 +252,38 @@
 
         /** Closes the connection after what is still being written; what is read meanwhile is not taken any more. */
         private void close() {
+            closeAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+        }
+
+        /**
+         * Ends the connection with a last write. Closing with bytes unread would reset the connection, and the client
+         * would lose what it has not read by then: so this side ends its sending, and some of the rest is read and
+         * dropped for a while.
+         */
+        private void closeAfter(ChannelFuture lastWrite) {
             ends = true;
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            lastWrite.addListener(f -> {
+                if (f.isSuccess() && !left && dropped < DROPPED && channel instanceof SocketChannel socket) {
+                    linger(socket);
+                } else {
+                    channel.close();
+                }
+            });
+        }
+
+        private void linger(SocketChannel socket) {
+            lingersSince = clock.now();
+            limiter.clientIdle(socket);
+            socket.shutdownOutput();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
             connections.remove(this);
+            lingering.remove(this);
             waiting.forEach(e -> e.request.release());
             waiting.clear();
-            if (parting != null && partedAt < 0) {
+            if (parting != null) {
                 parting.release();
             }
             if (exchange != null) {
@@ -290,14 +325,15 @@
         /** The exchange is over; the next that was read ahead begins. */
         void answered(boolean keepAlive, ChannelFuture written) {
             used = true;
-            ends = !keepAlive;
             idleSince = clock.now();
             exchange = keepAlive ? waiting.poll() : null;
-            if (exchange != null) {
+            if (!keepAlive) {
+                closeAfter(written);
+            } else if (exchange != null) {
                 exchange.begin();
-            } else if (keepAlive && parting != null) {
+            } else if (parting != null) {
                 hangUp();
-            } else if (keepAlive) {
+            } else {
                 // Not before: an idle connection may be closed at any moment.
                 written.addListener(f -> {
                     if (exchange == null && !unsent()) {
@@ -327,7 +363,7 @@
         }
 
         void closeIfIdle() {
-            if (exchange == null && firstByteAt < 0 && parting == null) {
+            if (exchange == null && firstByteAt < 0 && !ends) {
                 close();
             }
         }
@@ -337,11 +373,9 @@
             if (exchange != null) {
                 return;
             }
-            if (partedAt >= 0) {
-                if (now - partedAt > LINGER_US) {
-                    channel.close();
-                }
-            } else if (firstByteAt >= 0) {
+            if (lingersSince >= 0) {
+                expireLingering(now - lingersSince);
+            } else if (firstByteAt >= 0 && !ends) {
                 // A byte now and then renews nothing: the time is for the whole request.
                 if (now - (used ? firstByteAt : idleSince) > WHOLE_US) {
                     part(plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
@@ -351,6 +385,14 @@
             }
         }
 
+        private void expireLingering(long lingeredUs) {
+            if (lingeredUs > LINGER_US) {
+                channel.close();
+            } else if (lingeredUs > CLIENT_CLOSE_US && connections.remove(this)) {
+                lingering.add(this);
+            }
+        }
+
         private boolean unsent() {
             ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
             return out != null && !out.isEmpty();
@@ -358,7 +400,7 @@
 
         /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
         void part(FullHttpResponse answer) {
-            if (parting != null) {
+            if (parting != null || ends) {
                 answer.release();
                 return;
             }
@@ -370,33 +412,25 @@
             }
         }
 
-        /**
-         * Closing with bytes unread would reset the connection, and the client would lose the answer: so this side
-         * ends its sending, and some of the rest is read and dropped for a while.
-         */
+        /** Sends the error that was kept for the end. */
         private void hangUp() {
-            partedAt = clock.now();
-            limiter.clientIdle(channel);
-            HttpUtil.setKeepAlive(parting, false);
-            channel.writeAndFlush(parting).addListener(f -> {
-                if (f.isSuccess() && !left && dropped < DROPPED && channel instanceof SocketChannel socket) {
-                    socket.shutdownOutput();
-                } else {
-                    channel.close();
-                }
-            });
+            FullHttpResponse last = parting;
+            parting = null;
+            HttpUtil.setKeepAlive(last, false);
+            closeAfter(channel.writeAndFlush(last));
         }
 
         private void drop(ByteBuf rest) {
             dropped += rest.readableBytes();
             rest.release();
-            if (dropped >= DROPPED) {
-                if (partedAt >= 0) {
-                    channel.close();
-                } else {
-                    // Unread, what it sends would hide its close; and it does not wait for an answer.
-                    left();
-                }
+            if (dropped < DROPPED) {
+                return;
+            }
+            if (lingersSince >= 0) {
+                channel.close();
+            } else if (!left) {
+                // Unread, what it sends would hide its close; and it does not wait for an answer.
+                left();
             }
         }
     }
@@ -620,9 +654,6 @@
             HttpUtil.setKeepAlive(answer, keepAlive);
             request.release();
             ChannelFuture written = connection.channel.writeAndFlush(answer);
-            if (!keepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
             connection.answered(keepAlive, written);
         }
 
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -4,12 +4,14 @@
 
 import beechfall.Balancer.Arrival;
 import beechfall.Balancer.AttemptEnded;
+import beechfall.Balancer.Refuse;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -203,6 +205,41 @@
         }
     }
 
+    /** A close over what the client is still sending would reset the connection, and with it what the client has yet to read. */
+    @Test
+    @Timeout(30)
+    void aLastAnswerIsNotCutOffByWhatTheClientStillSends() throws Exception {
+        // More than the client's side of the kernel takes unread, less than both sides hold.
+        int answers = 8;
+        var goOn = new CountDownLatch(1);
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        (event, actions) -> {
+                            if (event instanceof Arrival a && a.id().equals("last")) {
+                                Peer.await(goOn);
+                                actions.accept(new Refuse(a.id(), 0));
+                            } else {
+                                Fixture.sendTo("s0").handle(event, actions);
+                            }
+                        },
+                        backend);
+                var slow = proxy.client()) {
+            backend.always(Peer.ok(LONGEST_BODY));
+            leaveUnread(proxy, slow, answers);
+            slow.send(Fixture.get("last").replace("Host:", "Connection: close\r\nHost:"));
+            proxy.next(Arrival.class);
+            slow.send(Fixture.get("behind"));
+            goOn.countDown();
+            proxy.settle();
+            readAll(slow, answers);
+            assertThat(slow.read().status()).isEqualTo(503);
+            assertThat(slow.ended()).isTrue();
+            assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
+            // It stays, but nobody waits for it.
+            Peer.until(() -> proxy.connected() == 0);
+        }
+    }
+
     /** Has requests answered whose answers the client does not read. */
     private static void leaveUnread(Fixture proxy, Wire client, int answers) throws Exception {
         for (int i = 0; i < answers; i++) {
