Answer each request that is read beyond those kept ahead on a connection

Cause: of several requests sent at once three are kept; the next one ended the connection with a single 429 and took the decoder out, so that further whole requests that had been read got no answer. Change: of each further request only the number is kept, and each gets its 429, in order, the last one ending the connection. What is read of them counts towards the bound that holds for bytes behind a last answer, 256 KiB; a client that sends more is treated as gone, as before. Reading goes on, so that a client that leaves is seen to.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -61,8 +61,8 @@
     private static final long WHOLE_US = 2_200_000;
     /** A client that takes nothing of its answer for so long has gone. */
     private static final long UNREAD_US = 10_000_000;
-    /** What the client sends behind its last answer is dropped, up to so many bytes: see {@code closeAfter}. */
-    private static final long DROPPED = 256 * 1024;
+    /** Of what is not served, beyond the requests read ahead or behind the last answer, so many bytes are read. */
+    private static final long MAX_UNSERVED_BYTES = 256 * 1024;
     /** How long a connection stays open for reading after its last answer, at most. */
     private static final long LINGER_US = 1_000_000;
     /**
@@ -70,7 +70,7 @@
      * allows on every time limit, for either direction. A drain does not wait for it any longer.
      */
     private static final long CLIENT_CLOSE_US = 100_000;
-    /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
+    /** Requests kept ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 2;
 
     private final Clock clock;
@@ -206,7 +206,9 @@
         /** Since when the connection is only read from, or -1. */
         private long lingersSince = -1;
 
-        private long dropped;
+        private long unservedBytes;
+        /** The whole requests read beyond those that wait: nothing else is kept of them. */
+        private int surplus;
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
@@ -219,8 +221,11 @@
         /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            if (parting != null || ends) {
-                drop((ByteBuf) message);
+            if (surplus > 0 || parting != null || ends) {
+                countUnserved(((ByteBuf) message).readableBytes());
+            }
+            if (parting != null || ends || left) {
+                ReferenceCountUtil.release(message);
                 return;
             }
             if (firstByteAt < 0) {
@@ -263,7 +268,10 @@
         private void closeAfter(ChannelFuture lastWrite) {
             ends = true;
             lastWrite.addListener(f -> {
-                if (f.isSuccess() && !left && dropped < DROPPED && channel instanceof SocketChannel socket) {
+                if (f.isSuccess()
+                        && !left
+                        && unservedBytes < MAX_UNSERVED_BYTES
+                        && channel instanceof SocketChannel socket) {
                     linger(socket);
                 } else {
                     channel.close();
@@ -313,12 +321,11 @@
                 exchange = next;
                 // As a task: by then all that has come is read, and a client that has gone is known to have.
                 channel.eventLoop().execute(next::begin);
-            } else if (waiting.size() < PIPELINED) {
+            } else if (surplus == 0 && waiting.size() < PIPELINED) {
                 waiting.add(next);
             } else {
                 request.release();
-                part(plain(
-                        HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
+                surplus++;
             }
         }
 
@@ -331,6 +338,8 @@
                 closeAfter(written);
             } else if (exchange != null) {
                 exchange.begin();
+            } else if (surplus > 0) {
+                refuseSurplus();
             } else if (parting != null) {
                 hangUp();
             } else {
@@ -343,6 +352,23 @@
             }
         }
 
+        /** Answers each request of which only the number is kept, in their order; nothing more is taken behind them. */
+        private void refuseSurplus() {
+            if (parting == null) {
+                parting = tooManyRequests();
+                surplus--;
+            }
+            for (; surplus > 0; surplus--) {
+                channel.write(tooManyRequests());
+            }
+            hangUp();
+        }
+
+        private static FullHttpResponse tooManyRequests() {
+            return plain(
+                    HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; this one has not been begun");
+        }
+
         /** The exchange is no request that can be passed on: the answer says so, and is the last. */
         void rejected(FullHttpResponse answer) {
             exchange = null;
@@ -359,7 +385,7 @@
 
         /** Returns whether nothing more is to be answered after the exchange that is under way. */
         boolean last() {
-            return waiting.isEmpty() && parting == null;
+            return waiting.isEmpty() && surplus == 0 && parting == null;
         }
 
         void closeIfIdle() {
@@ -420,10 +446,9 @@
             closeAfter(channel.writeAndFlush(last));
         }
 
-        private void drop(ByteBuf rest) {
-            dropped += rest.readableBytes();
-            rest.release();
-            if (dropped < DROPPED) {
+        private void countUnserved(int bytes) {
+            unservedBytes += bytes;
+            if (unservedBytes < MAX_UNSERVED_BYTES) {
                 return;
             }
             if (lingersSince >= 0) {
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -198,25 +199,32 @@
         }
     }
 
-    /** Of many requests at once a few are served; the rest costs no memory and is told that it has not been begun. */
+    /** Of many requests at once a few are served; the rest costs no memory, and each is told that it has not been begun. */
     @Test
+    @Timeout(30)
     void readsOnlyAFewRequestsAhead() throws Exception {
+        int requests = 400;
+        int served = 3;
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var client = proxy.client()) {
             var all = new StringBuilder();
-            for (int i = 0; i < 400; i++) {
+            for (int i = 0; i < requests; i++) {
                 all.append(Fixture.get("r" + i));
             }
             client.send(all.toString());
             Wire attempt = backend.accept();
             attempt.read();
+            // All of them have been read then.
+            proxy.settle();
             backend.always(Peer.ok("x"));
             attempt.send(Peer.answer("200 OK", "x", "Connection: close"));
-            for (int i = 0; i < 3; i++) {
+            for (int i = 0; i < served; i++) {
                 assertThat(client.read().status()).isEqualTo(200);
             }
-            assertThat(client.read().status()).isEqualTo(429);
+            for (int i = served; i < requests; i++) {
+                assertThat(client.read().status()).isEqualTo(429);
+            }
             assertThat(client.endedQuietly()).isTrue();
         }
     }
