Turn away an unknown expectation after the answers before it

Cause: for an Expect other than 100-continue Netty's aggregator writes 417 at once. With an answer still open on that connection the client took it for that answer. Change: such a head is judged with the others that are turned away, so that its 417 comes in its turn and is the connection's last answer. Measured: FrontendTest.anExpectationThatIsNotMetIsAnsweredInItsTurn fails without the change (the 417 came first); mvn verify with it: 377 tests, none failed.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -494,9 +495,20 @@
             if (!codings.isEmpty() && !plainChunks) {
                 return plain(HttpResponseStatus.BAD_REQUEST, "a body that is not sent in plain chunks");
             }
+            if (expectsMoreThanContinue(head)) {
+                return plain(HttpResponseStatus.EXPECTATION_FAILED, "an expectation that is not met");
+            }
             return null;
         }
 
+        /** RFC 9110, 10.1.1: there is one expectation, and HTTP/1.0 knows none. */
+        private static boolean expectsMoreThanContinue(HttpRequest head) {
+            String expected = head.headers().get(HttpHeaderNames.EXPECT);
+            return expected != null
+                    && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)
+                    && head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+        }
+
         @Override
         protected Object newContinueResponse(HttpMessage head, int most, ChannelPipeline pipeline) {
             // Where the body is too long, that is told in its turn.
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -341,6 +341,25 @@
         }
     }
 
+    /** Netty would turn it away at once, and the client would take that for the answer that it waits for. */
+    @Test
+    @Timeout(30)
+    void anExpectationThatIsNotMetIsAnsweredInItsTurn() throws Exception {
+        try (var backend = new Peer();
+                var proxy = new Fixture(Fixture.sendTo("s0"), backend);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            client.send(Fixture.post("r2", "x").replace("Host:", "Expect: a-miracle\r\nHost:"));
+            proxy.settle();
+            attempt.send(Peer.ok("x"));
+            assertThat(client.read().body()).isEqualTo("x");
+            assertThat(client.read().status()).isEqualTo(417);
+            assertThat(client.ended()).isTrue();
+        }
+    }
+
     @Test
     void tellsTheModuleThatAClientIsGone() throws Exception {
         try (var proxy = new Fixture(SILENT)) {
