Open a connection in place of a spoilt idle one only where there is room

Cause: an attempt was let through because its pool had an idle connection, but whether that one can be used, as nothing unread has come on it, was looked at later. Where none could, a new one was opened without being admitted while the closed one still held its descriptor, so that a turn of a loop that was held up could pass the limit. Change: the pool chooses the connection before the limiter is asked, and the attempt takes the one that was chosen; a pool with none to use goes through ConnectionLimiter.admitsBackend.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -139,7 +139,7 @@
     /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
     Attempt attempt(String id, Outgoing outgoing, long timeoutUs, End end) {
         Target target = targets.get(id);
-        if (target == null || !target.ready || (!target.pool.hasIdle() && !limiter.admitsBackend())) {
+        if (target == null || !target.ready || (!target.pool.hasUsable() && !limiter.admitsBackend())) {
             return null;
         }
         return new Attempt(target, outgoing, timeoutUs, end);
@@ -184,19 +184,24 @@
      */
     private final class Pool extends SimpleChannelPool {
         private final Deque<Connection> idle = new ArrayDeque<>();
+        /** The idle connection that the next poll takes, or null where none has been chosen. */
+        private Connection chosen;
+
         private ChannelFuture connecting;
 
         Pool(Bootstrap bootstrap, ChannelPoolHandler handler) {
             super(bootstrap, handler);
         }
 
-        boolean hasIdle() {
+        /** Chooses the connection for an attempt that follows in this turn of the loop; returns whether there is one. */
+        boolean hasUsable() {
             long now = clock.now();
             // The first has been idle for longest.
             while (!idle.isEmpty() && !idleLimit.allows(now - idle.getFirst().idleSince)) {
                 idle.removeFirst().channel.close();
             }
-            return !idle.isEmpty() && idle.getFirst().settled(now);
+            chosen = firstUsable(now);
+            return chosen != null;
         }
 
         @Override
@@ -214,16 +219,26 @@
 
         @Override
         protected Channel pollChannel() {
-            long now = clock.now();
+            Connection connection = chosen != null ? chosen : firstUsable(clock.now());
+            chosen = null;
+            if (connection == null) {
+                return null;
+            }
+            idle.remove(connection);
+            limiter.backendBusy(connection.channel);
+            return connection.channel;
+        }
+
+        /** Returns the idle connection to use, or null; closes those that it finds to have brought something. */
+        private Connection firstUsable(long now) {
             for (Iterator<Connection> i = idle.descendingIterator(); i.hasNext(); ) {
                 Connection connection = i.next();
                 if (connection.settled(now)) {
-                    i.remove();
                     // Where the loop was held up, what has come may be unread: it would pass for the next answer.
                     if (transport.silent().test(connection.channel)) {
-                        limiter.backendBusy(connection.channel);
-                        return connection.channel;
+                        return connection;
                     }
+                    i.remove();
                     connection.channel.close();
                 }
             }
@@ -241,9 +256,13 @@
 
         void closed(Connection connection) {
             idle.remove(connection);
+            if (chosen == connection) {
+                chosen = null;
+            }
         }
 
         void closeIdle() {
+            chosen = null;
             for (Connection connection = idle.pollLast(); connection != null; connection = idle.pollLast()) {
                 connection.channel.close();
             }
--- a/src/test/java/beechfall/proxy/DescriptorReserveTest.java
+++ b/src/test/java/beechfall/proxy/DescriptorReserveTest.java
@@ -2,13 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import beechfall.Balancer.Arrival;
+import beechfall.Balancer.AttemptEnded;
+import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Refuse;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -79,6 +86,77 @@
         }
     }
 
+    /** What turns out to be spoilt as it is taken still holds its descriptor: another is opened only where there is room. */
+    @Test
+    @Timeout(30)
+    void aConnectionInPlaceOfASpoiltOneNeedsRoomToo() throws Exception {
+        int backends = DescriptorBudget.of(LIMIT).connections() / 2;
+        int requests = backends - 1;
+        var read = new CountDownLatch(1);
+        var spoilt = new CountDownLatch(1);
+        Fixture.Module module = (event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("held")) {
+                Peer.await(read);
+                actions.accept(new Refuse(a.id(), 0));
+            } else if (event instanceof Arrival a) {
+                if (a.id().startsWith("again")) {
+                    Peer.await(spoilt);
+                }
+                Fixture.sendTo("s" + a.id().replaceAll("\\D", "")).handle(event, actions);
+            } else {
+                Fixture.sendTo("").handle(event, actions);
+            }
+        };
+        try (var backend = new Peer();
+                var proxy = new Fixture(
+                        module,
+                        LIMIT,
+                        15_000_000,
+                        Collections.nCopies(backends, backend).toArray(Peer[]::new))) {
+            crowd(proxy, "first", backends);
+            var attempts = new ArrayList<Wire>();
+            for (int i = 0; i < backends; i++) {
+                attempts.add(backend.accept());
+            }
+            for (Wire attempt : attempts) {
+                attempt.read();
+                attempt.send(Peer.ok("x"));
+                proxy.next(AttemptEnded.class);
+            }
+            long answered = System.nanoTime();
+            dispersed();
+            crowd.clear();
+            Peer.until(() -> proxy.connected() == 0 && System.nanoTime() - answered > 20_000_000);
+            crowd(proxy.address.getPort(), requests, "");
+            Peer.until(() -> proxy.connected() == requests);
+            crowd(proxy, "held", 1);
+            // All are read in one turn of the loop, and their connections spoilt in the middle of it.
+            for (int i = 0; i < requests; i++) {
+                crowd.get(i).send(Fixture.patient("again" + i));
+            }
+            read.countDown();
+            proxy.next(Arrival.class);
+            for (Wire attempt : attempts) {
+                attempt.send("not asked for");
+            }
+            backend.always(Peer.ok("x"));
+            spoilt.countDown();
+            var outcomes = new ArrayList<Outcome>();
+            for (int i = 0; i < requests; i++) {
+                outcomes.add(proxy.next(AttemptEnded.class).outcome());
+            }
+            assertThat(outcomes).contains(Outcome.OK).containsOnlyOnce(Outcome.NOT_SENT);
+        }
+    }
+
+    /** Clients with a request each, all of which have arrived. */
+    private void crowd(Fixture proxy, String name, int size) throws Exception {
+        for (int i = 0; i < size; i++) {
+            crowd(proxy.address.getPort(), 1, Fixture.patient(size == 1 ? name : name + i));
+            proxy.next(Arrival.class);
+        }
+    }
+
     /** The kernel is the witness: one descriptor too many fails, and the failure is logged. */
     @Test
     void theProcessStaysUnderItsLimit(@TempDir Path folder) throws Exception {
