Answer the requests read behind one that is turned away

Cause: a request that can't be passed on is its connection's last, and whole requests that had been read behind it were released without an answer. Change: they are counted with those beyond the ones kept ahead, and each gets a 429; nothing is begun. An error that waits for the answers before it is sent too, no longer replaced. Measured: FrontendTest.whatComesBehindABadRequestIsAnsweredToo fails without the change (the connection ended after the 400); mvn verify with it: 379 tests, none failed.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -370,14 +370,17 @@
                     HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; this one has not been begun");
         }
 
-        /** The exchange is no request that can be passed on: the answer says so, and is the last. */
+        /** The exchange is no request that can be passed on: the answer says so, and nothing is begun behind it. */
         void rejected(FullHttpResponse answer) {
             exchange = null;
+            surplus += waiting.size();
             waiting.forEach(e -> e.request.release());
             waiting.clear();
-            if (parting != null) {
-                parting.release();
-                parting = answer;
+            if (surplus > 0) {
+                channel.write(answer);
+                refuseSurplus();
+            } else if (parting != null) {
+                channel.write(answer);
                 hangUp();
             } else {
                 part(answer);
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -341,6 +341,21 @@
         }
     }
 
+    /** Nothing is taken behind a request that is turned away, but each that was read whole is told so. */
+    @Test
+    @Timeout(30)
+    void whatComesBehindABadRequestIsAnsweredToo() throws Exception {
+        try (var proxy = new Fixture(SILENT);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r1").replace("acme", "nobody") + Fixture.get("r2") + Fixture.get("r3"));
+            assertThat(client.read().status()).isEqualTo(400);
+            assertThat(client.read().status()).isEqualTo(429);
+            assertThat(client.read().status()).isEqualTo(429);
+            assertThat(client.ended()).isTrue();
+            assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
+        }
+    }
+
     /** Netty would turn it away at once, and the client would take that for the answer that it waits for. */
     @Test
     @Timeout(30)
