--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -19,6 +18,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -62,13 +62,18 @@
     private static final long WHOLE_US = 2_200_000;
     /** A client that takes nothing of its answer for so long has gone. */
     private static final long UNREAD_US = 10_000_000;
-    /** After the last answer what else the client sends is dropped, so much and for so long: see {@code hangUp}. */
-    private static final long DROPPED = 256 * 1024;
-
+    /** Of what is not served, beyond the requests read ahead or behind the last answer, so many bytes are read. */
+    private static final long MAX_UNSERVED_BYTES = 256 * 1024;
+    /** How long a connection stays open for reading after its last answer, at most. */
     private static final long LINGER_US = 1_000_000;
     /** A client's channel that was read so lately is not read again before an attempt; well under the 0.1 s allowed. */
     private static final long FRESH_US = 20_000;
-    /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
+    /**
+     * A client that has taken its last answer has closed by then, which takes a round trip: the 50 ms that the protocol
+     * allows on every time limit, for either direction. A drain does not wait for it any longer.
+     */
+    private static final long CLIENT_CLOSE_US = 100_000;
+    /** Requests kept ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 2;
 
     private final Clock clock;
@@ -78,7 +83,11 @@
     private final BooleanSupplier ready;
     private final Map<String, Balancer.Effect> effects = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
+    /** The connections on which something may still be asked, answered or read by the client. */
     private final Set<Connection> connections = new HashSet<>();
+    /** Those that were closed for sending, and whose clients have not closed them in the time for it. */
+    private final Set<Connection> lingering = new HashSet<>();
+
     private Channel listener;
     private boolean leaving;
     private boolean closing;
@@ -129,6 +138,7 @@
     /** One timer for all: one for each connection would have to be set anew with each request. */
     private void sweep() {
         long now = clock.now();
+        List.copyOf(lingering).forEach(c -> c.expire(now));
         List.copyOf(connections).forEach(c -> c.expire(now));
     }
 
@@ -194,10 +204,16 @@
 
         private boolean used;
         private boolean left;
+        /** The last answer has been written, or nothing more will be: what comes is neither decoded nor taken. */
         private boolean ends;
+        /** An error that waits for the answers before it, to be the last. */
         private FullHttpResponse parting;
-        private long partedAt = -1;
-        private long dropped;
+        /** Since when the connection is only read from, or -1. */
+        private long lingersSince = -1;
+
+        private long unservedBytes;
+        /** The whole requests read beyond those that wait: nothing else is kept of them. */
+        private int surplus;
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
@@ -210,8 +226,11 @@
         /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            if (parting != null) {
-                drop((ByteBuf) message);
+            if (surplus > 0 || parting != null || ends) {
+                countUnserved(((ByteBuf) message).readableBytes());
+            }
+            if (parting != null || ends || left) {
+                ReferenceCountUtil.release(message);
                 return;
             }
             if (firstByteAt < 0) {
@@ -258,17 +277,43 @@
             }
         }
 
-        /** Closes the connection after what is still being written. */
+        /** Closes the connection after what is still being written; what is read meanwhile is not taken any more. */
         private void close() {
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            closeAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+        }
+
+        /**
+         * Ends the connection with a last write. Closing with bytes unread would reset the connection, and the client
+         * would lose what it has not read by then: so this side ends its sending, and some of the rest is read and
+         * dropped for a while.
+         */
+        private void closeAfter(ChannelFuture lastWrite) {
+            ends = true;
+            lastWrite.addListener(f -> {
+                if (f.isSuccess()
+                        && !left
+                        && unservedBytes < MAX_UNSERVED_BYTES
+                        && channel instanceof SocketChannel socket) {
+                    linger(socket);
+                } else {
+                    channel.close();
+                }
+            });
+        }
+
+        private void linger(SocketChannel socket) {
+            lingersSince = clock.now();
+            limiter.clientIdle(socket);
+            socket.shutdownOutput();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
             connections.remove(this);
+            lingering.remove(this);
             waiting.forEach(e -> e.request.release());
             waiting.clear();
-            if (parting != null && partedAt < 0) {
+            if (parting != null) {
                 parting.release();
             }
             abandon();
@@ -303,26 +348,28 @@
                 exchange = next;
                 // As a task: by then all that has come is read, and a client that has gone is known to have.
                 channel.eventLoop().execute(next::begin);
-            } else if (waiting.size() < PIPELINED) {
+            } else if (surplus == 0 && waiting.size() < PIPELINED) {
                 waiting.add(next);
             } else {
                 request.release();
-                part(plain(
-                        HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; these have not been begun"));
+                surplus++;
             }
         }
 
         /** The exchange is over; the next that was read ahead begins. */
         void answered(boolean keepAlive, ChannelFuture written) {
             used = true;
-            ends = !keepAlive;
             idleSince = clock.now();
             exchange = keepAlive ? waiting.poll() : null;
-            if (exchange != null) {
+            if (!keepAlive) {
+                closeAfter(written);
+            } else if (exchange != null) {
                 exchange.begin();
-            } else if (keepAlive && parting != null) {
+            } else if (surplus > 0) {
+                refuseSurplus();
+            } else if (parting != null) {
                 hangUp();
-            } else if (keepAlive) {
+            } else {
                 // Not before: an idle connection may be closed at any moment.
                 written.addListener(f -> {
                     if (exchange == null && !unsent()) {
@@ -332,14 +379,34 @@
             }
         }
 
-        /** The exchange is no request that can be passed on: the answer says so, and is the last. */
+        /** Answers each request of which only the number is kept, in their order; nothing more is taken behind them. */
+        private void refuseSurplus() {
+            if (parting == null) {
+                parting = tooManyRequests();
+                surplus--;
+            }
+            for (; surplus > 0; surplus--) {
+                channel.write(tooManyRequests());
+            }
+            hangUp();
+        }
+
+        private static FullHttpResponse tooManyRequests() {
+            return plain(
+                    HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests at once; this one has not been begun");
+        }
+
+        /** The exchange is no request that can be passed on: the answer says so, and nothing is begun behind it. */
         void rejected(FullHttpResponse answer) {
             exchange = null;
+            surplus += waiting.size();
             waiting.forEach(e -> e.request.release());
             waiting.clear();
-            if (parting != null) {
-                parting.release();
-                parting = answer;
+            if (surplus > 0) {
+                channel.write(answer);
+                refuseSurplus();
+            } else if (parting != null) {
+                channel.write(answer);
                 hangUp();
             } else {
                 part(answer);
@@ -348,11 +415,11 @@
 
         /** Returns whether nothing more is to be answered after the exchange that is under way. */
         boolean last() {
-            return waiting.isEmpty() && parting == null;
+            return waiting.isEmpty() && surplus == 0 && parting == null;
         }
 
         void closeIfIdle() {
-            if (exchange == null && firstByteAt < 0 && parting == null) {
+            if (exchange == null && firstByteAt < 0 && !ends) {
                 close();
             }
         }
@@ -362,11 +429,9 @@
             if (exchange != null) {
                 return;
             }
-            if (partedAt >= 0) {
-                if (now - partedAt > LINGER_US) {
-                    channel.close();
-                }
-            } else if (firstByteAt >= 0) {
+            if (lingersSince >= 0) {
+                expireLingering(now - lingersSince);
+            } else if (firstByteAt >= 0 && !ends) {
                 // A byte now and then renews nothing: the time is for the whole request.
                 if (now - (used ? firstByteAt : idleSince) > WHOLE_US) {
                     part(plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request has not come in time"));
@@ -376,6 +441,14 @@
             }
         }
 
+        private void expireLingering(long lingeredUs) {
+            if (lingeredUs > LINGER_US) {
+                channel.close();
+            } else if (lingeredUs > CLIENT_CLOSE_US && connections.remove(this)) {
+                lingering.add(this);
+            }
+        }
+
         private boolean unsent() {
             ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
             return out != null && !out.isEmpty();
@@ -383,7 +456,7 @@
 
         /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
         void part(FullHttpResponse answer) {
-            if (parting != null) {
+            if (parting != null || ends) {
                 answer.release();
                 return;
             }
@@ -395,33 +468,24 @@
             }
         }
 
-        /**
-         * Closing with bytes unread would reset the connection, and the client would lose the answer: so this side
-         * ends its sending, and some of the rest is read and dropped for a while.
-         */
+        /** Sends the error that was kept for the end. */
         private void hangUp() {
-            partedAt = clock.now();
-            limiter.clientIdle(channel);
-            HttpUtil.setKeepAlive(parting, false);
-            channel.writeAndFlush(parting).addListener(f -> {
-                if (f.isSuccess() && !left && dropped < DROPPED && channel instanceof SocketChannel socket) {
-                    socket.shutdownOutput();
-                } else {
-                    channel.close();
-                }
-            });
+            FullHttpResponse last = parting;
+            parting = null;
+            HttpUtil.setKeepAlive(last, false);
+            closeAfter(channel.writeAndFlush(last));
         }
 
-        private void drop(ByteBuf rest) {
-            dropped += rest.readableBytes();
-            rest.release();
-            if (dropped >= DROPPED) {
-                if (partedAt >= 0) {
-                    channel.close();
-                } else {
-                    // Unread, what it sends would hide its close; and it does not wait for an answer.
-                    left();
-                }
+        private void countUnserved(int bytes) {
+            unservedBytes += bytes;
+            if (unservedBytes < MAX_UNSERVED_BYTES) {
+                return;
+            }
+            if (lingersSince >= 0) {
+                channel.close();
+            } else if (!left) {
+                // Unread, what it sends would hide its close; and it does not wait for an answer.
+                left();
             }
         }
     }
@@ -460,9 +524,20 @@
             if (!codings.isEmpty() && !plainChunks) {
                 return plain(HttpResponseStatus.BAD_REQUEST, "a body that is not sent in plain chunks");
             }
+            if (expectsMoreThanContinue(head)) {
+                return plain(HttpResponseStatus.EXPECTATION_FAILED, "an expectation that is not met");
+            }
             return null;
         }
 
+        /** RFC 9110, 10.1.1: there is one expectation, and HTTP/1.0 knows none. */
+        private static boolean expectsMoreThanContinue(HttpRequest head) {
+            String expected = head.headers().get(HttpHeaderNames.EXPECT);
+            return expected != null
+                    && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)
+                    && head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+        }
+
         @Override
         protected Object newContinueResponse(HttpMessage head, int most, ChannelPipeline pipeline) {
             // Where the body is too long, that is told in its turn.
@@ -652,9 +727,6 @@
             HttpUtil.setKeepAlive(answer, keepAlive);
             request.release();
             ChannelFuture written = connection.channel.writeAndFlush(answer);
-            if (!keepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
             connection.answered(keepAlive, written);
         }
 
