--- a/src/test/java/beechfall/ChurnTest.java
+++ b/src/test/java/beechfall/ChurnTest.java
@@ -1,10 +1,10 @@
 package beechfall;
 
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.S;
-import static beechfall.Proxy.backend;
-import static beechfall.Proxy.in;
-import static beechfall.Proxy.started;
+import static beechfall.ModuleDriver.READ;
+import static beechfall.ModuleDriver.S;
+import static beechfall.ModuleDriver.backend;
+import static beechfall.ModuleDriver.in;
+import static beechfall.ModuleDriver.started;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beechfall.Balancer.ListKind;
@@ -16,7 +16,7 @@
 
 /** Backends that come and go all day, as changes of the list tell it. */
 class ChurnTest {
-    private final Proxy proxy = new Proxy();
+    private final ModuleDriver proxy = new ModuleDriver();
 
     /** Nothing is kept of what is gone, or the memory of a proxy grows with each backend it ever knew. */
     @Test
--- a/src/test/java/beechfall/ColdBackendFleetTest.java
+++ b/src/test/java/beechfall/ColdBackendFleetTest.java
@@ -1,9 +1,9 @@
 package beechfall;
 
-import static beechfall.Proxy.LIMITS;
-import static beechfall.Proxy.MS;
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.S;
+import static beechfall.ModuleDriver.LIMITS;
+import static beechfall.ModuleDriver.MS;
+import static beechfall.ModuleDriver.READ;
+import static beechfall.ModuleDriver.S;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beechfall.Balancer.Action;
@@ -105,7 +105,7 @@
 
         void run() {
             for (int i = 0; i < size; i++) {
-                backends.put("s" + i, Proxy.backend("s" + i));
+                backends.put("s" + i, ModuleDriver.backend("s" + i));
             }
             at(0, () -> tell(ListKind.FULL, List.copyOf(backends.values())));
             at(STARTED_AT, this::startCold);
@@ -133,15 +133,15 @@
         private void startCold() {
             var news = new ArrayList<Backend>();
             for (int i = 0; i < size / RESTARTED; i++) {
-                news.add(Proxy.started("s" + i, now));
-                news.add(Proxy.started("new" + i, now));
+                news.add(ModuleDriver.started("s" + i, now));
+                news.add(ModuleDriver.started("new" + i, now));
             }
             news.forEach(b -> backends.put(b.id(), b));
             tell(ListKind.DELTA, news);
         }
 
         private void changeList() {
-            tell(ListKind.DELTA, List.of(Proxy.in(Balancer.State.GONE, "other" + now / S)));
+            tell(ListKind.DELTA, List.of(ModuleDriver.in(Balancer.State.GONE, "other" + now / S)));
             at(now + S, this::changeList);
         }
 
--- a/src/test/java/beechfall/CrowdTest.java
+++ b/src/test/java/beechfall/CrowdTest.java
@@ -1,11 +1,11 @@
 package beechfall;
 
-import static beechfall.Proxy.LIMITS;
-import static beechfall.Proxy.MS;
-import static beechfall.Proxy.PAY;
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.RULES;
-import static beechfall.Proxy.backend;
+import static beechfall.ModuleDriver.LIMITS;
+import static beechfall.ModuleDriver.MS;
+import static beechfall.ModuleDriver.PAY;
+import static beechfall.ModuleDriver.READ;
+import static beechfall.ModuleDriver.RULES;
+import static beechfall.ModuleDriver.backend;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beechfall.Balancer.Fail;
@@ -22,7 +22,7 @@
 
 /** What happens when more comes than the backends can do. */
 class CrowdTest {
-    private final Proxy proxy = new Proxy();
+    private final ModuleDriver proxy = new ModuleDriver();
 
     @Test
     void moreThanTheLimitIsHeldAndThenRefusedAtOnce() {
@@ -67,7 +67,8 @@
     @Test
     void aRefusalTellsWhenThereMayBeRoom() {
         long most = 700 * MS;
-        var p = new Proxy(Proxy.settings(new Balancer.Limits(true, false, false, false, 4, most, 0), RULES));
+        var p = new ModuleDriver(
+                ModuleDriver.settings(new Balancer.Limits(true, false, false, false, 4, most, 0), RULES));
         p.list(backend("a"));
         for (int i = 0; i < 20; i++) {
             p.arrive(READ);
@@ -84,7 +85,8 @@
 
     @Test
     void aTenantPastItsShareGivesWay() {
-        var p = new Proxy(Proxy.settings(LIMITS, RULES, new Tenant("greedy", 1), new Tenant("modest", 1000)));
+        var p = new ModuleDriver(
+                ModuleDriver.settings(LIMITS, RULES, new Tenant("greedy", 1), new Tenant("modest", 1000)));
         p.list(backend("a"));
         p.now += 10_000 * MS;
         var held = new ArrayList<String>();
@@ -141,8 +143,8 @@
     @ValueSource(booleans = {false, true})
     void aLoneProxyKeepsItsBackendsBusyWhenUnqueuedWorkFillsTheLimit(boolean listChangesEachSecond) {
         // One of three, the others gone. An answer takes 200 ms without a queue, more than a fifth of the shortest aim.
-        var p = new Proxy(
-                new Balancer.Settings(3, 0, "a", MS, List.of(READ, Proxy.PAY), List.of(), 1, false, LIMITS, RULES, 1));
+        var p = new ModuleDriver(new Balancer.Settings(
+                3, 0, "a", MS, List.of(READ, ModuleDriver.PAY), List.of(), 1, false, LIMITS, RULES, 1));
         p.list(backend("a"), backend("b"), backend("c"));
         record Sent(String id, long at) {}
         var out = new java.util.ArrayDeque<Sent>();
@@ -151,7 +153,7 @@
         for (int step = 0; step < 3000; step++) {
             p.now += 20 * MS;
             if (listChangesEachSecond && step % 50 == 0) {
-                var gone = Proxy.in(Balancer.State.GONE, "other" + step);
+                var gone = ModuleDriver.in(Balancer.State.GONE, "other" + step);
                 p.feed(new Balancer.Members(Balancer.ListKind.DELTA, List.of(gone)));
             }
             p.arrive(READ);
@@ -171,9 +173,9 @@
 
     @Test
     void twelveProxiesTogetherHoldNoMoreThanOne() {
-        var alone = new Proxy();
-        var oneOfTwelve =
-                new Proxy(new Balancer.Settings(12, 0, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
+        var alone = new ModuleDriver();
+        var oneOfTwelve = new ModuleDriver(
+                new Balancer.Settings(12, 0, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
         var backends = new Balancer.Backend[24];
         for (int i = 0; i < backends.length; i++) {
             backends[i] = backend("s" + i);
@@ -189,7 +191,7 @@
             backends[i] = backend("s" + i, "std", i % 2 == 0 ? "a" : "b", 1);
         }
         for (int rank = 0; rank < 12; rank++) {
-            var p = new Proxy(
+            var p = new ModuleDriver(
                     new Balancer.Settings(12, rank, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, rank));
             p.list(backends);
             for (int i = 0; i < 6; i++) {
@@ -243,17 +245,18 @@
 
     @Test
     void roomGoesToARequestWhoseKeyIsAtHomeThere() {
-        var p = new Proxy(new Balancer.Settings(3, 0, "a", MS, List.of(READ), List.of(), 1, true, LIMITS, RULES, 1));
+        var p = new ModuleDriver(
+                new Balancer.Settings(3, 0, "a", MS, List.of(READ), List.of(), 1, true, LIMITS, RULES, 1));
         p.list(backend("a"), backend("b"), backend("c"), backend("d"), backend("e"), backend("f"));
         String[] key = new String[60];
         var home = new java.util.HashMap<String, String>();
         for (int i = 0; i < key.length; i++) {
             key[i] = "key" + i;
-            p.feed(new Balancer.Arrival("probe" + i, "read", null, key[i], 2 * Proxy.S, false));
+            p.feed(new Balancer.Arrival("probe" + i, "read", null, key[i], 2 * ModuleDriver.S, false));
             home.put(key[i], p.lastSend("probe" + i).backend());
             p.end("probe" + i, Outcome.OK, MS);
         }
-        p.now += 20 * Proxy.S;
+        p.now += 20 * ModuleDriver.S;
         var out = new ArrayList<String>();
         for (int i = 0; i < 6; i++) {
             out.add(p.arrive(READ));
@@ -267,9 +270,9 @@
                 .filter(k -> home.get(k).equals(freed))
                 .findFirst()
                 .orElseThrow();
-        p.feed(new Balancer.Arrival("other", "read", null, other, 2 * Proxy.S, false));
+        p.feed(new Balancer.Arrival("other", "read", null, other, 2 * ModuleDriver.S, false));
         p.now += MS;
-        p.feed(new Balancer.Arrival("fits", "read", null, fits, 2 * Proxy.S, false));
+        p.feed(new Balancer.Arrival("fits", "read", null, fits, 2 * ModuleDriver.S, false));
         assertThat(p.sends("other") + p.sends("fits")).isZero();
         p.end(out.get(0), Outcome.OK, MS);
         assertThat(p.sends("fits")).isEqualTo(1);
@@ -277,13 +280,14 @@
     }
 
     /** One of 400 proxies at 60 backends: its part of what all may have out is 3 x 60 / 400, under half an attempt. */
-    private static Proxy oneOfHundreds(int rank, Balancer.RequestClass... classes) {
+    private static ModuleDriver oneOfHundreds(int rank, Balancer.RequestClass... classes) {
         var all = classes.length == 0 ? List.of(READ) : List.of(classes);
-        var p = new Proxy(new Balancer.Settings(400, rank, "a", MS, all, List.of(), 1, false, LIMITS, RULES, rank));
+        var p = new ModuleDriver(
+                new Balancer.Settings(400, rank, "a", MS, all, List.of(), 1, false, LIMITS, RULES, rank));
         p.list(java.util.stream.IntStream.range(0, 60)
                 .mapToObj(i -> backend("s" + i))
                 .toArray(Balancer.Backend[]::new));
-        p.run(5 * Proxy.S);
+        p.run(5 * ModuleDriver.S);
         return p;
     }
 
@@ -328,8 +332,8 @@
     }
 
     /** Sends in ten seconds with a request every 400 ms that takes all of them. */
-    private static long sentIn(Proxy p) {
-        p.run(10 * Proxy.S);
+    private static long sentIn(ModuleDriver p) {
+        p.run(10 * ModuleDriver.S);
         long before = p.actions.stream().filter(a -> a instanceof Send).count();
         for (int i = 0; i < 25; i++) {
             String id = p.arrive(READ);
@@ -351,7 +355,7 @@
                 p.run(170 * MS);
             }
             long from = p.now;
-            p.feed(new Balancer.Members(Balancer.ListKind.DELTA, List.of(Proxy.started("new", from))));
+            p.feed(new Balancer.Members(Balancer.ListKind.DELTA, List.of(ModuleDriver.started("new", from))));
             for (int i = 0; i < 25; i++) {
                 got += p.serve(READ, 30 * MS).equals("new") ? 1 : 0;
                 p.run(170 * MS);
@@ -368,8 +372,8 @@
         var dear = oneOfHundreds(0, READ, PAY);
         for (var p : List.of(cheap, dear)) {
             String slow = p.arrive(READ);
-            p.run(2 * Proxy.S);
-            p.end(slow, Outcome.TIMEOUT, 2 * Proxy.S);
+            p.run(2 * ModuleDriver.S);
+            p.end(slow, Outcome.TIMEOUT, 2 * ModuleDriver.S);
         }
         assertThat(cheap.sends(cheap.arrive(READ))).isZero();
         assertThat(dear.sends(dear.arrive(PAY))).isEqualTo(1);
@@ -422,7 +426,7 @@
         var p = oneOfHundreds(0);
         for (int i = 0; i < 20; i++) {
             p.serve(READ, 200 * MS);
-            p.run(Proxy.S);
+            p.run(ModuleDriver.S);
         }
         String busy = p.arrive(READ);
         p.now += MS;
@@ -452,14 +456,14 @@
         assertThat(p.serve(READ, 20 * MS)).isNotEqualTo(slow);
         for (int i = 0; i < 30; i++) {
             p.serve(READ, 20 * MS);
-            p.run(2 * Proxy.S);
+            p.run(2 * ModuleDriver.S);
         }
         assertThat(p.serve(READ, 20 * MS))
                 .as("its own answers are forgotten in time")
                 .isEqualTo(slow);
     }
 
-    private static long burst(Proxy p, Balancer.Backend... backends) {
+    private static long burst(ModuleDriver p, Balancer.Backend... backends) {
         p.list(backends);
         for (int i = 0; i < 100; i++) {
             p.arrive(READ);
--- a/src/test/java/beechfall/Proxy.java
+++ b/src/test/java/beechfall/ModuleDriver.java
@@ -26,8 +26,8 @@
 import java.util.Map;
 import java.util.Set;
 
-/** A proxy for tests: it feeds one module by hand and keeps what the module asked for. */
-final class Proxy {
+/** Stands in for the proxy round one module: it feeds the module by hand and keeps what the module asked for. */
+final class ModuleDriver {
     static final long MS = 1_000;
     static final long S = 1_000_000;
 
@@ -50,11 +50,11 @@
     private final Set<SetTimer> fired = new HashSet<>();
     private int nextId;
 
-    Proxy(Settings settings) {
+    ModuleDriver(Settings settings) {
         policy = new Policy(settings);
     }
 
-    Proxy() {
+    ModuleDriver() {
         this(settings(LIMITS, RULES));
     }
 
--- a/src/test/java/beechfall/PickTest.java
+++ b/src/test/java/beechfall/PickTest.java
@@ -1,10 +1,10 @@
 package beechfall;
 
-import static beechfall.Proxy.MS;
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.S;
-import static beechfall.Proxy.VOTE;
-import static beechfall.Proxy.backend;
+import static beechfall.ModuleDriver.MS;
+import static beechfall.ModuleDriver.READ;
+import static beechfall.ModuleDriver.S;
+import static beechfall.ModuleDriver.VOTE;
+import static beechfall.ModuleDriver.backend;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beechfall.Balancer.Backend;
@@ -21,7 +21,7 @@
 
 /** The earliest-deadline order and its weights. */
 class PickTest {
-    private final Proxy proxy = new Proxy();
+    private final ModuleDriver proxy = new ModuleDriver();
 
     @Test
     void worksThePapersTwoEndpointExample() {
@@ -87,7 +87,7 @@
         int failed = 0;
         for (int i = 0; i < 300; i++) {
             reads.merge(proxy.serve(READ, 10 * MS), 1, Integer::sum);
-            String id = proxy.arrive(Proxy.VOTE);
+            String id = proxy.arrive(ModuleDriver.VOTE);
             proxy.now += 10 * MS;
             boolean ill = proxy.lastSend(id).backend().equals("a");
             failed += ill ? 1 : 0;
@@ -149,7 +149,7 @@
     void aClassThatFailsEverywhereIsSentAllTheSame() {
         proxy.list(backend("a"), backend("b"));
         for (int i = 0; i < 20; i++) {
-            String id = proxy.arrive(Proxy.VOTE);
+            String id = proxy.arrive(ModuleDriver.VOTE);
             assertThat(proxy.sends(id)).isEqualTo(1);
             proxy.now += 10 * MS;
             proxy.end(id, Outcome.ERROR, 10 * MS);
@@ -192,8 +192,8 @@
         var backends = new Backend[] {backend("a"), backend("b"), backend("c"), backend("d")};
         var homes = new HashMap<String, String>();
         for (long seed = 1; seed <= 3; seed++) {
-            var p = new Proxy(new Balancer.Settings(
-                    3, 0, "a", MS, List.of(READ), List.of(), 1, true, Proxy.LIMITS, Proxy.RULES, seed));
+            var p = new ModuleDriver(new Balancer.Settings(
+                    3, 0, "a", MS, List.of(READ), List.of(), 1, true, ModuleDriver.LIMITS, ModuleDriver.RULES, seed));
             p.list(backends);
             for (int i = 0; i < 40; i++) {
                 String key = "key" + i;
@@ -232,11 +232,11 @@
 
     @Test
     void equalEventsGiveEqualActions() {
-        var other = new Proxy();
-        for (Proxy p : List.of(proxy, other)) {
-            p.list(backend("a"), backend("b", "k", "b", 2), Proxy.started("c", p.now - S));
+        var other = new ModuleDriver();
+        for (ModuleDriver p : List.of(proxy, other)) {
+            p.list(backend("a"), backend("b", "k", "b", 2), ModuleDriver.started("c", p.now - S));
             for (int i = 0; i < 300; i++) {
-                p.serve(i % 3 == 0 ? Proxy.PAY : READ, (i * 7919L % 40 + 1) * MS);
+                p.serve(i % 3 == 0 ? ModuleDriver.PAY : READ, (i * 7919L % 40 + 1) * MS);
             }
         }
         assertThat(proxy.actions).isEqualTo(other.actions);
@@ -244,7 +244,7 @@
 
     @Test
     void aBackendThatCannotBeReachedIsTriedEverMoreSeldom() {
-        var p = new Proxy();
+        var p = new ModuleDriver();
         p.list(backend("a"), backend("b"), backend("c"), backend("lost"));
         int tried = 0;
         for (int i = 0; i < 600; i++) {
@@ -262,7 +262,7 @@
 
     @Test
     void ifNearlyNoneCanBeReachedAllAreTriedOn() {
-        var p = new Proxy();
+        var p = new ModuleDriver();
         p.list(backend("a"), backend("b"));
         for (int i = 0; i < 20; i++) {
             String id = p.arrive(VOTE);
@@ -276,7 +276,7 @@
 
     @Test
     void aBackendThatErrsAtTimesIsTriedOn() {
-        var p = new Proxy();
+        var p = new ModuleDriver();
         p.list(backend("a"), backend("b"), backend("c"), backend("errs"));
         int toErring = 0;
         for (int i = 0; i < 4000; i++) {
--- a/src/test/java/beechfall/RulesTest.java
+++ b/src/test/java/beechfall/RulesTest.java
@@ -1,15 +1,15 @@
 package beechfall;
 
-import static beechfall.Proxy.BOOK;
-import static beechfall.Proxy.LIMITS;
-import static beechfall.Proxy.MS;
-import static beechfall.Proxy.NOTE;
-import static beechfall.Proxy.PAY;
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.RULES;
-import static beechfall.Proxy.S;
-import static beechfall.Proxy.VOTE;
-import static beechfall.Proxy.backend;
+import static beechfall.ModuleDriver.BOOK;
+import static beechfall.ModuleDriver.LIMITS;
+import static beechfall.ModuleDriver.MS;
+import static beechfall.ModuleDriver.NOTE;
+import static beechfall.ModuleDriver.PAY;
+import static beechfall.ModuleDriver.READ;
+import static beechfall.ModuleDriver.RULES;
+import static beechfall.ModuleDriver.S;
+import static beechfall.ModuleDriver.VOTE;
+import static beechfall.ModuleDriver.backend;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beechfall.Balancer.Action;
@@ -37,7 +37,7 @@
 
 /** The rules, one group each. */
 class RulesTest {
-    private final Proxy proxy = new Proxy();
+    private final ModuleDriver proxy = new ModuleDriver();
 
     @Nested
     class NoRequestIsLost {
@@ -87,7 +87,7 @@
 
         @Test
         void withoutLeaveToCancelNothingIsCancelled() {
-            var p = new Proxy(Proxy.settings(new Limits(false, false, false, false, 4, 0, 0), RULES));
+            var p = new ModuleDriver(ModuleDriver.settings(new Limits(false, false, false, false, 4, 0, 0), RULES));
             p.list(backend("a"));
             String id = p.arrive(READ);
             assertThat(p.feed(new ClientGone(id))).isEmpty();
@@ -175,7 +175,7 @@
         void aKeyedRequestIsNotSentAgainPastItsWindow() {
             var shortWindow = new Balancer.RequestClass(
                     "pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED, Balancer.Scope.ZONE, 100 * MS);
-            var p = new Proxy(
+            var p = new ModuleDriver(
                     new Balancer.Settings(1, 0, "a", MS, List.of(shortWindow), List.of(), 1, false, LIMITS, RULES, 1));
             p.list(backend("a"), backend("b"));
             String id = p.arrive(shortWindow);
@@ -190,7 +190,7 @@
             long connectUs = 200 * MS;
             var shortWindow = new Balancer.RequestClass(
                     "pay", 600 * MS, 2 * S, 10, 0, Balancer.Effect.KEYED, Balancer.Scope.ZONE, 400 * MS);
-            var p = new Proxy(new Balancer.Settings(
+            var p = new ModuleDriver(new Balancer.Settings(
                     1,
                     0,
                     "a",
@@ -243,7 +243,8 @@
 
     @Nested
     class FullIsNoProofWhereTheRulesSaySo {
-        private final Proxy doubting = new Proxy(Proxy.settings(LIMITS, new Rules(0.4, 8 * S, 4, S, 10 * S, true)));
+        private final ModuleDriver doubting =
+                new ModuleDriver(ModuleDriver.settings(LIMITS, new Rules(0.4, 8 * S, 4, S, 10 * S, true)));
 
         @Test
         void anUnsafeRequestIsNeitherSentAgainNorRefused() {
@@ -284,7 +285,7 @@
         void idleOnesAtTheNoticeAndTheLastOnceItsAttemptHasEnded() {
             proxy.list(backend("a"));
             String id = proxy.arrive(VOTE);
-            assertThat(proxy.feed(new Members(ListKind.DELTA, List.of(Proxy.in(State.DRAINING, "a")))))
+            assertThat(proxy.feed(new Members(ListKind.DELTA, List.of(ModuleDriver.in(State.DRAINING, "a")))))
                     .containsExactly(new Release("a"));
             assertThat(proxy.end(id, Outcome.OK, MS)).containsExactly(new Release("a"));
         }
@@ -295,7 +296,7 @@
             String id = proxy.arrive(READ);
             String to = proxy.lastSend(id).backend();
             proxy.feed(new ClientGone(id));
-            proxy.feed(new Members(ListKind.DELTA, List.of(Proxy.in(State.DRAINING, to))));
+            proxy.feed(new Members(ListKind.DELTA, List.of(ModuleDriver.in(State.DRAINING, to))));
             assertThat(proxy.end(id, Outcome.CANCELLED, MS)).containsExactly(new Release(to));
         }
 
@@ -313,7 +314,8 @@
         @Test
         void aDrainingOrLostBackendGetsNothingNew() {
             proxy.list(backend("a"), backend("b"), backend("c"));
-            proxy.feed(new Members(ListKind.DELTA, List.of(Proxy.in(State.DRAINING, "a"), Proxy.in(State.GONE, "b"))));
+            proxy.feed(new Members(
+                    ListKind.DELTA, List.of(ModuleDriver.in(State.DRAINING, "a"), ModuleDriver.in(State.GONE, "b"))));
             for (int i = 0; i < 10; i++) {
                 assertThat(proxy.serve(READ, MS)).isEqualTo("c");
             }
@@ -331,14 +333,14 @@
         @Test
         void aListWhereAllDrainLeavesNothingToSendTo() {
             proxy.list(backend("a"));
-            proxy.list(Proxy.in(State.DRAINING, "a"));
+            proxy.list(ModuleDriver.in(State.DRAINING, "a"));
             String id = proxy.arrive(READ);
             assertThat(proxy.sends(id)).isZero();
         }
 
         @Test
         void aDrainedBackendMayComeBack() {
-            proxy.list(Proxy.in(State.DRAINING, "a"));
+            proxy.list(ModuleDriver.in(State.DRAINING, "a"));
             proxy.feed(new Members(ListKind.DELTA, List.of(backend("a"))));
             assertThat(proxy.serve(READ, MS)).isEqualTo("a");
         }
@@ -346,7 +348,7 @@
         @Test
         void aBackendThatDrainsAndComesBackInOneUpdateIsListedOnce() {
             proxy.list(backend("a"), backend("b"));
-            proxy.feed(new Members(ListKind.DELTA, List.of(Proxy.in(State.DRAINING, "a"), backend("a"))));
+            proxy.feed(new Members(ListKind.DELTA, List.of(ModuleDriver.in(State.DRAINING, "a"), backend("a"))));
             int toA = 0;
             for (int i = 0; i < 12; i++) {
                 toA += proxy.serve(READ, MS).equals("a") ? 1 : 0;
@@ -356,7 +358,7 @@
 
         @Test
         void aListThatMustBeAskedForIsAskedForAtOnceAndAgainAfterAFailure() {
-            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
+            var p = new ModuleDriver(ModuleDriver.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
             assertThat(p.feed(new Members(ListKind.CACHED, List.of(backend("a")))))
                     .contains(new Watch(true));
             List<Action> after = p.feed(new Members(ListKind.FAILED, List.of()));
@@ -372,7 +374,7 @@
         @ValueSource(longs = {50 * MS, 500 * MS, 10 * S, 60 * S, 3_600 * S})
         void theNextCallIsMadeWithinTheBoundAfterAnyRowOfFailures(long askWithinUs) {
             var rules = new Rules(0.4, 8 * S, 4, S, askWithinUs, false);
-            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), rules));
+            var p = new ModuleDriver(ModuleDriver.settings(new Limits(true, false, false, true, 4, 0, 0), rules));
             long boundUs = Math.min(AskBackoff.MAX_DELAY_US, askWithinUs);
             p.feed(new Members(ListKind.CACHED, List.of(backend("a"))));
             for (int i = 0; i < 40; i++) {
@@ -389,7 +391,7 @@
             }
         }
 
-        private static long watches(Proxy p) {
+        private static long watches(ModuleDriver p) {
             return p.actions.stream().filter(new Watch(true)::equals).count();
         }
 
@@ -403,7 +405,7 @@
         /** Each call is priced over the whole fleet: in an outage they grow rare, up to the bound. */
         @Test
         void callsThatFailGrowRare() {
-            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
+            var p = new ModuleDriver(ModuleDriver.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
             p.feed(new Members(ListKind.CACHED, List.of(backend("a"))));
             var delays = new ArrayList<Long>();
             for (int i = 0; i < 6; i++) {
@@ -421,7 +423,7 @@
         /** Each new watch costs a call or two, also where each is answered first and ends right after. */
         @Test
         void aWatchThatEndsAgainAndAgainIsBegunAnewMoreAndMoreRarely() {
-            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
+            var p = new ModuleDriver(ModuleDriver.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
             p.feed(new Members(ListKind.CACHED, List.of(backend("a"))));
             for (int i = 0; i < 4; i++) {
                 p.feed(new Members(ListKind.FAILED, List.of()));
@@ -434,7 +436,7 @@
             assertThat(delayAfterAFailure(p)).isLessThanOrEqualTo(200 * MS);
         }
 
-        private static long delayAfterAFailure(Proxy p) {
+        private static long delayAfterAFailure(ModuleDriver p) {
             SetTimer timer =
                     (SetTimer) p.feed(new Members(ListKind.FAILED, List.of())).get(0);
             return timer.atUs() - p.now;
@@ -442,8 +444,8 @@
 
         @Test
         void proxiesDoNotAskAgainInStep() {
-            var p = new Proxy(Proxy.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
-            var q = new Proxy(new Balancer.Settings(
+            var p = new ModuleDriver(ModuleDriver.settings(new Limits(true, false, false, true, 4, 0, 0), RULES));
+            var q = new ModuleDriver(new Balancer.Settings(
                     1,
                     0,
                     "a",
@@ -488,7 +490,7 @@
         }
 
         private int sentInOneSecond(Outcome outcome) {
-            proxy.list(Proxy.started("cold", proxy.now));
+            proxy.list(ModuleDriver.started("cold", proxy.now));
             int before = proxy.actions.size();
             for (int i = 0; i < 1000; i++) {
                 proxy.now += MS;
@@ -505,7 +507,7 @@
 
         @Test
         void oneOfManyProxiesMayStillSendItWhatItsLikeBear() {
-            var p = new Proxy(
+            var p = new ModuleDriver(
                     new Balancer.Settings(9, 3, "a", MS, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
             var backends = new Balancer.Backend[4];
             for (int i = 0; i < 4; i++) {
@@ -515,7 +517,7 @@
             for (int i = 0; i < 3000; i++) {
                 p.serve(READ, 10 * MS);
             }
-            backends[3] = Proxy.started("s3", p.now);
+            backends[3] = ModuleDriver.started("s3", p.now);
             p.list(backends);
             int toCold = 0;
             for (int i = 0; i < 200; i++) {
@@ -531,7 +533,7 @@
             for (int i = 0; i < 100; i++) {
                 proxy.serve(READ, 50 * MS);
             }
-            proxy.list(Proxy.started("a", proxy.now));
+            proxy.list(ModuleDriver.started("a", proxy.now));
             long sent = 0;
             for (int i = 0; i < 100; i++) {
                 String id = proxy.arrive(READ);
@@ -545,7 +547,7 @@
 
         @Test
         void itIsWarmInTheEnd() {
-            proxy.list(Proxy.started("a", proxy.now - RULES.coldUs()));
+            proxy.list(ModuleDriver.started("a", proxy.now - RULES.coldUs()));
             for (int i = 0; i < 100; i++) {
                 assertThat(proxy.serve(READ, 0)).isEqualTo("a");
             }
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -97,9 +97,7 @@
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire attempt = backend.accept();
-            attempt.read();
+            Wire attempt = backend.attemptFor(client, "r1");
             attempt.send("rubbish\r\n\r\n" + Peer.ok("not asked for"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
             assertThat(client.read().status()).isEqualTo(502);
@@ -194,9 +192,7 @@
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire attempt = backend.accept();
-            attempt.read();
+            Wire attempt = backend.attemptFor(client, "r1");
             attempt.send(answer);
             AttemptEnded end = proxy.next(AttemptEnded.class);
             assertThat(end.outcome()).isEqualTo(Outcome.ERROR);
@@ -212,9 +208,7 @@
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire attempt = backend.accept();
-            attempt.read();
+            Wire attempt = backend.attemptFor(client, "r1");
             // It may be cut off before all of it is written.
             Peer.background(
                     () -> attempt.send((more.startsWith("HTTP") ? "" : "HTTP/1.1 200 OK\r\n") + more.repeat(10_000)));
@@ -234,9 +228,7 @@
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire attempt = backend.accept();
-            attempt.read();
+            Wire attempt = backend.attemptFor(client, "r1");
             attempt.send(answer);
             assertThat(client.read().body()).isEqualTo("x");
             assertThat(attempt.ended()).isTrue();
@@ -253,9 +245,7 @@
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire attempt = backend.accept();
-            attempt.read();
+            Wire attempt = backend.attemptFor(client, "r1");
             attempt.send(answer);
             assertThat(client.read().body()).isEqualTo("x");
             settle();
@@ -274,15 +264,11 @@
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire attempt = backend.accept();
-            attempt.read();
+            Wire attempt = backend.attemptFor(client, "r1");
             attempt.send(Peer.ok("one") + Peer.ok("two"));
             assertThat(client.read().body()).isEqualTo("one");
             assertThat(attempt.ended()).isTrue();
-            client.send(Fixture.get("r2"));
-            Wire next = backend.accept();
-            next.read();
+            Wire next = backend.attemptFor(client, "r2");
             next.send(Peer.ok("three"));
             assertThat(client.read().body()).isEqualTo("three");
         }
@@ -359,9 +345,7 @@
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), 1_024, 500_000, backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire attempt = backend.accept();
-            attempt.read();
+            Wire attempt = backend.attemptFor(client, "r1");
             attempt.send(Peer.ok("x"));
             client.read();
             assertThat(attempt.ended()).isTrue();
@@ -371,7 +355,7 @@
     /** Rule 3 counts a send from its first byte: one that still waits for its connection must not go out any more. */
     @Test
     void aDrainStopsWhatIsStillConnecting() throws Exception {
-        try (var full = new Crowded();
+        try (var full = new FullBacklog();
                 var proxy = new Fixture(Fixture.watching("s1"), Fixture.PATIENT);
                 var client = proxy.client()) {
             Wire next = proxy.list(Fixture.entry("s1", full.address(), "ready"));
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -363,9 +363,7 @@
         try (var backend = new Peer();
                 var proxy = new Fixture(Fixture.sendTo("s0"), backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire attempt = backend.accept();
-            attempt.read();
+            Wire attempt = backend.attemptFor(client, "r1");
             client.send(Fixture.post("r2", "x").replace("Host:", "Expect: a-miracle\r\nHost:"));
             proxy.settle();
             attempt.send(Peer.ok("x"));
--- a/src/test/java/beechfall/proxy/Crowded.java
+++ b/src/test/java/beechfall/proxy/FullBacklog.java
@@ -10,11 +10,11 @@
 import java.util.List;
 
 /** A listener that accepts nothing, and whose queue is full: whoever connects to it waits. */
-final class Crowded implements Closeable {
+final class FullBacklog implements Closeable {
     private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     private final List<Socket> crowd = new ArrayList<>();
 
-    Crowded() throws IOException {
+    FullBacklog() throws IOException {
         while (true) {
             var socket = new Socket();
             try {
--- a/src/test/java/beechfall/proxy/LeavingTest.java
+++ b/src/test/java/beechfall/proxy/LeavingTest.java
@@ -30,7 +30,7 @@
         client.close();
     }
 
-    private static UnaryOperator<String> knowing(Crowded backend) {
+    private static UnaryOperator<String> knowing(FullBacklog backend) {
         String list = "\"servers\":[" + Fixture.entry("s0", backend.address(), "ready") + "]";
         return c -> Fixture.PATIENT.apply(c).replace("\"servers\":[]", list);
     }
@@ -114,7 +114,7 @@
                 Fixture.sendTo("s0").handle(event, actions);
             }
         };
-        try (var backend = new Crowded();
+        try (var backend = new FullBacklog();
                 var proxy = new Fixture(module, knowing(backend));
                 var client = proxy.client().send(Fixture.patient("r1"));
                 var holding = proxy.client()) {
@@ -189,7 +189,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void whatStillConnectsIsNotSentForAClientThatHasLeft(boolean reset) throws Exception {
-        try (var full = new Crowded();
+        try (var full = new FullBacklog();
                 var proxy = new Fixture(
                         Fixture.watching("s1"),
                         Fixture.PATIENT.andThen(c -> c.replace("\"cancel\":true", "\"cancel\":false"))::apply);
@@ -210,7 +210,7 @@
     /** As above, where an earlier attempt never left the proxy. */
     @Test
     void aRetryThatStillConnectsIsNotSentForAClientThatHasLeft() throws Exception {
-        try (var full = new Crowded();
+        try (var full = new FullBacklog();
                 var proxy = new Fixture(
                         (event, actions) -> {
                             if (event instanceof Arrival a) {
--- a/src/test/java/beechfall/proxy/Peer.java
+++ b/src/test/java/beechfall/proxy/Peer.java
@@ -35,6 +35,14 @@
         return wire;
     }
 
+    /** Has a client send a request, and returns the new connection over which the request has come here whole. */
+    Wire attemptFor(Wire client, String requestId) throws IOException {
+        client.send(Fixture.get(requestId));
+        Wire attempt = accept();
+        attempt.read();
+        return attempt;
+    }
+
     /** Answers every request in the same way from now on, on threads of its own; returns the requests as they come. */
     BlockingQueue<Wire.Message> always(String answer) {
         var seen = new LinkedBlockingQueue<Wire.Message>();
--- a/src/test/java/beechfall/proxy/ProxyTest.java
+++ b/src/test/java/beechfall/proxy/ProxyTest.java
@@ -60,9 +60,7 @@
                         },
                         backend);
                 var client = proxy.client()) {
-            client.send(Fixture.get("r1"));
-            Wire first = backend.accept();
-            first.read();
+            Wire first = backend.attemptFor(client, "r1");
             for (int number = 1; number <= 2; number++) {
                 AttemptEnded end = proxy.next(AttemptEnded.class);
                 assertThat(end.attempt()).isEqualTo(number);
