--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -313,6 +313,7 @@
         unusedLimitAt = now;
         out = actions;
         if (askAt == Long.MIN_VALUE) {
+            measureAt = now + refreshUs;
             ask();
         }
         if (event instanceof Arrival e) {
@@ -463,9 +464,6 @@
      * that of the weights, which each list change starts afresh: in a release nothing would be measured.
      */
     private void measureLoad() {
-        if (measureAt == Long.MIN_VALUE) {
-            measureAt = now + refreshUs;
-        }
         if (now < measureAt) {
             return;
         }
