--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -301,8 +301,8 @@
         private final String name;
         private int version = 1;
         final Server server;
-        /** While true, calls are accepted and never answered. */
-        volatile boolean silent;
+        /** How much later than usual each answer is written, in milliseconds. */
+        volatile double lateMs;
 
         Discovery(String name, Record record) throws IOException {
             this.name = name;
@@ -332,9 +332,7 @@
                 String target = call.start().split(" ")[1];
                 record.line(name + ": call " + target);
                 String body = list(parameter(target, "from"), parameter(target, "hold_ms"));
-                while (silent) {
-                    sleep(20);
-                }
+                sleep(lateMs);
                 conn.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
                         + "\r\n\r\n" + body);
                 record.line(name + ": answered " + (body.length() < 600 ? body : body.substring(0, 600)));
@@ -544,6 +542,12 @@
         long connectTimeoutUs = 150_000;
         long idleUs = 60_000_000;
         String zone = "cordon";
+        long drainGraceUs = 1_000_000;
+        double fallMultiple = 3;
+        long fallUs = 3_000_000;
+        long mustAskInUs = 10_000_000;
+        String tenants = "{\"name\":\"red-escolar\",\"allowance_per_s\":118.0},"
+                + "{\"name\":\"instituto-habla\",\"allowance_per_s\":48.0}";
         String known = "";
         /** Each class as an object of the settings. */
         final List<String> profiles = new ArrayList<>();
@@ -571,11 +575,11 @@
                     + ",\"probes\":false,\"most_tries\":" + mostTries + ",\"retry_after\":true,"
                     + "\"max_retry_after_us\":2500000,\"conn_idle_us\":" + idleUs + ",\"connect_timeout_us\":"
                     + connectTimeoutUs + "},"
-                    + "\"invariants\":{\"answer_slack_us\":20000,\"drain_grace_us\":1000000,\"cold_from\":0.33,"
-                    + "\"cold_us\":9000000,\"fall_multiple\":3.0,\"fall_us\":3000000,\"must_ask_in_us\":10000000},"
+                    + "\"invariants\":{\"answer_slack_us\":20000,\"drain_grace_us\":" + drainGraceUs
+                    + ",\"cold_from\":0.33,\"cold_us\":9000000,\"fall_multiple\":" + fallMultiple + ",\"fall_us\":"
+                    + fallUs + ",\"must_ask_in_us\":" + mustAskInUs + "},"
                     + "\"profiles\":[" + String.join(",", profiles) + "],"
-                    + "\"projects\":[{\"name\":\"red-escolar\",\"allowance_per_s\":118.0},"
-                    + "{\"name\":\"instituto-habla\",\"allowance_per_s\":48.0}]}}";
+                    + "\"projects\":[" + tenants + "]}}";
         }
 
         private static int freePort() {
@@ -593,8 +597,14 @@
 
     /** The head of a client's request, as PROTOCOL shows it. */
     static String head(String method, String id, String requestClass, int timeoutMs, int length) {
+        return head(method, id, requestClass, "red-escolar", timeoutMs, length);
+    }
+
+    static String head(
+            String method, String id, String requestClass, String tenant, int timeoutMs, int length) {
         return method + " /api?k=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: " + id
-                + "\r\nX-Priority-Class: " + requestClass + "\r\nX-Tenant-Id: red-escolar\r\nX-Timeout: " + timeoutMs
+                + "\r\nX-Priority-Class: " + requestClass + "\r\nX-Tenant-Id: " + tenant
+                + "\r\nX-Timeout: " + timeoutMs
                 + "m\r\n" + (length > 0 || method.equals("POST") ? "Content-Length: " + length + "\r\n" : "") + "\r\n";
     }
 
