--- a/review/standins/Case1.java
+++ b/review/standins/Case1.java
@@ -6,13 +6,19 @@
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Clients that stop in the middle of a request and stay, beside clients that send proper requests. */
+/**
+ * Clients that stop in the middle of a request and stay, beside clients that send proper requests. They stop in the
+ * body or, with the environment variable STOP_IN=head, in a head of many short header lines.
+ */
 final class Case1 {
     /** With the proper clients, these stay below a third of the 1,024 descriptors. */
     private static final int STOPPING_CLIENTS = 320;
     private static final int PROPER_CLIENTS = 20;
     private static final int BODY_BYTES = 65_536;
     private static final int SENT_BYTES = 65_000;
+    private static final boolean STOP_IN_HEAD = "head".equals(System.getenv("STOP_IN"));
+    /** With the other header lines, the head stays below 8 KiB. */
+    private static final int SHORT_HEADERS = 1_500;
     private static final double TROUBLE_FROM_MS = 4_000;
     private static final double TROUBLE_MS = 8_000;
     private static final int TIMEOUT_MS = 1_200;
@@ -29,6 +35,7 @@
     }
 
     private static boolean holds(Path root, Lab.Record record, boolean trouble) throws Exception {
+        boolean crashed;
         try (var discovery = new Lab.Discovery("discovery", record);
                 var a = backend("s-1", record);
                 var b = backend("s-2", record);
@@ -51,8 +58,11 @@
                 }
                 Lab.sleep(TROUBLE_FROM_MS);
                 if (trouble) {
-                    record.say("disruption: " + STOPPING_CLIENTS + " clients send " + SENT_BYTES + " bytes of a body of "
-                            + BODY_BYTES + " and stay");
+                    record.say("disruption: " + STOPPING_CLIENTS + " clients send "
+                            + (STOP_IN_HEAD
+                                    ? "a head without its end, with " + SHORT_HEADERS + " headers of 5 bytes,"
+                                    : SENT_BYTES + " bytes of a body of " + BODY_BYTES)
+                            + " and stay");
                     for (int i = 0; i < STOPPING_CLIENTS; i++) {
                         Lab.daemon(() -> stoppingClient(proxy.port, start + TROUBLE_FROM_MS + TROUBLE_MS));
                     }
@@ -60,7 +70,9 @@
                 for (Thread thread : threads) {
                     thread.join();
                 }
-                record.say("the proxy's process is alive: " + proxy.process.isAlive());
+                crashed = !proxy.process.isAlive();
+                record.say(crashed ? "the proxy's process has ended: " + proxy.process.exitValue()
+                        : "the proxy's process is alive");
             }
         }
         var byStatus = new TreeMap<Integer, Integer>();
@@ -69,7 +81,7 @@
         record.say("proper requests by status (0: closed without an answer, -1: no answer " + FURTHER_WAIT_MS
                 + " ms after its time, connection open): " + byStatus);
         // A close may have crossed a request that the proxy has not read, so status 0 is not counted.
-        return ENDINGS.stream().noneMatch(e -> e.status() < 0);
+        return !crashed && ENDINGS.stream().noneMatch(e -> e.status() < 0);
     }
 
     private static Lab.Backend backend(String id, Lab.Record record) throws IOException {
@@ -110,8 +122,13 @@
             try (Lab.Conn conn = Lab.Conn.open(port)) {
                 conn.socket.setSoTimeout(10_000);
                 int number = STOPPED.incrementAndGet();
-                conn.write(Lab.head("POST", "stop-" + number, "subir", 1_500, BODY_BYTES));
-                conn.write(new byte[SENT_BYTES]);
+                String head = Lab.head("POST", "stop-" + number, "subir", 1_500, BODY_BYTES);
+                if (STOP_IN_HEAD) {
+                    conn.write(head.substring(0, head.length() - 2) + "a:b\r\n".repeat(SHORT_HEADERS));
+                } else {
+                    conn.write(head);
+                    conn.write(new byte[SENT_BYTES]);
+                }
                 conn.read();
             } catch (IOException e) {
                 Lab.sleep(50);
--- a/review/standins/Case2.java
+++ b/review/standins/Case2.java
@@ -3,19 +3,23 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A backend that now and then sends a second answer some milliseconds after the first. */
+/** Backends that now and then send a second answer some milliseconds after the first. */
 final class Case2 {
-    private static final int CLIENTS = Integer.getInteger("clients", 10);
-    private static final int LATE_MS = Integer.getInteger("late", 15);
-    private static final int ONE_IN = Integer.getInteger("oneIn", 20);
-    private static final int WORK_MS = Integer.getInteger("work", 5);
-    private static final int PAUSE_MS = Integer.getInteger("pause", 5);
-    private static final double LENGTH_MS = 15_000;
+    /** The traffic of one proxy of three: 170 requests a second in all. */
+    private static final double REQUESTS_PER_SECOND = 57;
+    private static final double LENGTH_MS = 95_000;
+    /** One answer in so many is followed by a second one. */
+    private static final int ONE_IN = 20;
+    private static final double LATE_MS = 12;
     private static final int TIMEOUT_MS = 1_200;
+
     private static final List<Lab.Ending> ENDINGS = Collections.synchronizedList(new ArrayList<>());
+    private static final ConcurrentLinkedDeque<Lab.Conn> IDLE = new ConcurrentLinkedDeque<>();
     private static final AtomicInteger ANSWERS = new AtomicInteger();
     private static final AtomicInteger SECOND_ANSWERS = new AtomicInteger();
 
@@ -39,15 +43,7 @@
                     .profile("subir", 750_000, 1_500_000, "at_most_once", "all", 5_000_000, 3);
             try (var proxy = new Lab.Proxy(root, record, config)) {
                 proxy.awaitReady();
-                double end = Lab.nowMs() + LENGTH_MS;
-                var threads = new ArrayList<Thread>();
-                for (int i = 0; i < CLIENTS; i++) {
-                    int client = i;
-                    threads.add(Lab.daemon(() -> client(proxy.port, record, client, end)));
-                }
-                for (Thread thread : threads) {
-                    thread.join();
-                }
+                sendRequests(proxy.port, record);
             }
         }
         var byStatus = new TreeMap<Integer, Integer>();
@@ -56,45 +52,66 @@
         List<Lab.Ending> foreign = ENDINGS.stream()
                 .filter(e -> e.status() == 200 && !e.detail().startsWith("answer to " + e.id() + " from "))
                 .toList();
-        foreign.forEach(e -> record.line("FOREIGN: " + e.id() + " got: " + e.detail()));
+        foreign.forEach(e -> record.line("FOREIGN: " + e.id() + " was served with: " + e.detail()));
         record.say("requests served with the answer to another request: " + foreign.size());
         return foreign.isEmpty();
     }
 
     private static Lab.Backend backend(String id, Lab.Record record, boolean trouble) throws IOException {
         return new Lab.Backend(id, record, (backend, conn, request) -> {
-            Lab.sleep(WORK_MS);
+            // The work of escuchar is 23 to 41 ms.
+            Lab.sleep(23 + 18 * Math.random());
             String answer = Lab.Backend.ok(backend.bodyFor(request));
             conn.write(answer);
             if (ANSWERS.incrementAndGet() % ONE_IN == 0 && trouble) {
                 Lab.sleep(LATE_MS);
+                conn.write(answer);
                 record.line("backend " + id + ": second answer to " + request.header("x-request-id"));
                 SECOND_ANSWERS.incrementAndGet();
-                conn.write(answer);
             }
             return true;
         });
     }
 
-    private static void client(int port, Lab.Record record, int client, double end) {
-        Lab.Conn conn = null;
-        for (int i = 0; Lab.nowMs() < end; i++) {
-            try {
-                if (conn == null) {
-                    conn = Lab.Conn.open(port);
-                }
-                String id = String.format("c%02d-%04d", client, i);
-                byte[] request = Lab.bytes(Lab.head("GET", id, "escuchar", TIMEOUT_MS, 0));
-                Lab.Ending ending = Lab.ask(conn, record, id, request, TIMEOUT_MS, 600);
-                ENDINGS.add(ending);
-                if (!ending.answered()) {
-                    conn.close();
-                    conn = null;
-                }
-            } catch (IOException e) {
-                conn = null;
+    /** Sends requests at random moments, each on an idle connection or, if there is none, on a new one. */
+    private static void sendRequests(int port, Lab.Record record) throws InterruptedException {
+        var random = new Random(1);
+        double next = Lab.nowMs();
+        double end = next + LENGTH_MS;
+        var threads = new ArrayList<Thread>();
+        for (int i = 0; next < end; i++) {
+            String id = String.format("r%05d", i);
+            Lab.sleep(next - Lab.nowMs());
+            threads.add(Lab.daemon(() -> send(port, record, id)));
+            next += -Math.log(1 - random.nextDouble()) * 1_000 / REQUESTS_PER_SECOND;
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    private static void send(int port, Lab.Record record, String id) {
+        try {
+            Lab.Conn conn = IDLE.pollLast();
+            if (conn == null) {
+                conn = Lab.Conn.open(port);
+            }
+            byte[] request = Lab.bytes(Lab.head("GET", id, "escuchar", TIMEOUT_MS, 0));
+            Lab.Ending ending = Lab.ask(conn, record, id, request, TIMEOUT_MS, 600);
+            if (ending.status() == 0) {
+                // The proxy closed the connection as it was idle; the client sends once more on a new one.
+                conn.close();
+                conn = Lab.Conn.open(port);
+                ending = Lab.ask(conn, record, id, request, TIMEOUT_MS, 600);
+            }
+            ENDINGS.add(ending);
+            if (ending.answered()) {
+                IDLE.addLast(conn);
+            } else {
+                conn.close();
             }
-            Lab.sleep(PAUSE_MS);
+        } catch (IOException e) {
+            record.line("client: no connection for " + id + ": " + e.getMessage());
         }
     }
 }
