--- a/review/standins/Case1.java
+++ b/review/standins/Case1.java
@@ -64,7 +64,7 @@
                                     : SENT_BYTES + " bytes of a body of " + BODY_BYTES)
                             + " and stay");
                     for (int i = 0; i < STOPPING_CLIENTS; i++) {
-                        Lab.daemon(() -> stoppingClient(proxy.port, start + TROUBLE_FROM_MS + TROUBLE_MS));
+                        Lab.daemon(() -> stoppingClient(proxy.port, record, start + TROUBLE_FROM_MS + TROUBLE_MS));
                     }
                 }
                 for (Thread thread : threads) {
@@ -117,7 +117,7 @@
     }
 
     /** Begins a request, stops in its body and stays until it gets an error or a close; then does so again. */
-    private static void stoppingClient(int port, double end) {
+    private static void stoppingClient(int port, Lab.Record record, double end) {
         while (Lab.nowMs() < end) {
             try (Lab.Conn conn = Lab.Conn.open(port)) {
                 conn.socket.setSoTimeout(10_000);
@@ -129,8 +129,11 @@
                     conn.write(head);
                     conn.write(new byte[SENT_BYTES]);
                 }
-                conn.read();
+                record.line("client stop-" + number + ": has sent a part of its request");
+                Lab.Message answer = conn.read();
+                record.line("client stop-" + number + ": got " + (answer == null ? "a close" : answer.start()));
             } catch (IOException e) {
+                record.line("client stop: " + e.getMessage());
                 Lab.sleep(50);
             }
         }
--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -220,6 +220,19 @@
             return new Message(start, headers, body);
         }
 
+        /** Returns whether the other side has closed the connection, as far as it has been told by now. */
+        boolean isClosedByPeer() throws IOException {
+            socket.setSoTimeout(1);
+            in.mark(1);
+            try {
+                int next = in.read();
+                in.reset();
+                return next < 0;
+            } catch (java.net.SocketTimeoutException e) {
+                return false;
+            }
+        }
+
         /** Closes with a reset in place of the usual end. */
         void reset() {
             try {
