Bound the memory that unfinished requests hold, whatever the number of clients

Cause: nothing limited the sum of what incomplete requests hold. Bodies used up the direct memory (24 MiB); at its limit each allocation makes the Java runtime sleep and retry for 0.5 s on the event loop before it throws, so no timer or other connection was served. A head of 1,500 short lines holds about 220 KiB as objects, 30 times its bytes.

Read on the way: a 408 freed its body only after lingering for up to 1 s; one byte of a request kept a read buffer of up to 64 KiB in use; a body of many small parts held a component object for each; a removed decoder kept its head while the connection lingered.

Change: each connection reports what its unfinished messages hold on the heap and in direct memory. At the budget, which follows from the limits of the runtime and limits.memory_mb, connections give up what waits for a client: first what holds most memory times time without progress, by a 503 with Retry-After or, if responses are unread, a close. Dispatched requests are never given up; they are admitted only below three quarters of the budget, the rest is for responses. Incomplete responses of backends count as well, and fail their attempt at the whole budget. What is kept of a message is copied to memory of its own size.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -1,13 +1,17 @@
 package gaugegw.proxy.client;
 
 import gaugegw.proxy.http.StrictRequestDecoder;
+import gaugegw.proxy.memory.MemoryAccount;
+import gaugegw.proxy.memory.MemoryHolder;
+import gaugegw.proxy.memory.MemoryUse;
+import gaugegw.proxy.memory.ShedStage;
+import gaugegw.proxy.transport.PendingWrites;
 import gaugegw.proxy.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -18,34 +22,11 @@
 /**
  * A client's connection: reads its requests, handles them one at a time in the order in which they arrive, and enforces
  * the time limits. Its {@link ClosingSequence} closes it after the last response; an idle or lingering connection that
- * exceeds a limit is closed directly. This is the first handler in the pipeline of its channel and adds the others.
+ * exceeds a limit is closed directly. Reports the memory that its messages hold, and gives up requests that have not been
+ * dispatched when all connections together hold too much. This is the first handler in the pipeline of its channel and adds the others.
  * Used on the event loop only.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
-    /**
-     * Time after which a connection without a request is closed, in microseconds. Clients may rely on an idle
-     * connection staying open for 2 s.
-     */
-    private static final long IDLE_TIMEOUT_US = 2_200_000;
-    /**
-     * Time within which a request must be received completely, in microseconds. It starts with the first byte of the
-     * request or, until the connection's first response, with the connect. A client that sends no valid request must
-     * get an error or a close within 3 s.
-     */
-    private static final long REQUEST_TIMEOUT_US = 2_200_000;
-    /**
-     * Time from the end of an exchange, in microseconds, after which the connection is closed if responses are still
-     * waiting to be written to the socket. The client has then stopped reading and is assumed to be gone.
-     */
-    private static final long WRITE_TIMEOUT_US = 10_000_000;
-    /** Maximum time from the shutdown of the proxy's output to the close of the connection, in microseconds. */
-    private static final long LINGER_TIMEOUT_US = 1_000_000;
-    /**
-     * Maximum time for which a graceful shutdown waits for a lingering connection, in microseconds. It is one round
-     * trip, with the 50 ms in each direction that the protocol allows on every time limit: a client that reads its last
-     * response at once has closed the connection by then.
-     */
-    private static final long SHUTDOWN_LINGER_TIMEOUT_US = 100_000;
+final class ClientConnection extends ChannelInboundHandlerAdapter implements MemoryHolder {
     /**
      * Minimum time between two reads of the channel, in microseconds: {@link #detectDisconnect} does not read a channel
      * that was read more recently. No attempt may begin 100 ms or more after the client's close was received; this
@@ -55,10 +36,14 @@
 
     private final ClientContext context;
     private final Channel channel;
-    private final StrictRequestDecoder decoder = new StrictRequestDecoder();
+    /** Null once the input is dropped: a decoder that has been removed still refers to its incomplete message. */
+    private StrictRequestDecoder decoder = new StrictRequestDecoder();
+
+    private final RequestAggregator aggregator = new RequestAggregator(this);
     private final PipelinedRequests pipelinedRequests = new PipelinedRequests();
     private final RequestArrival arrival;
     private final ClosingSequence closing;
+    private final MemoryAccount memory;
     /** The exchange whose response is written next; null if no request is being handled. */
     private ClientExchange exchange;
     /** When the channel was last read, on the proxy's clock. */
@@ -73,6 +58,7 @@
         this.channel = channel;
         this.arrival = new RequestArrival(context.delayEstimator());
         this.closing = new ClosingSequence(channel, context.clock(), context.limiter());
+        this.memory = context.memory().open(this);
     }
 
     @Override
@@ -80,11 +66,7 @@
         idleSinceUs = context.clock().nowUs();
         context.connections().add(this);
         channel.pipeline()
-                .addLast(
-                        decoder,
-                        new HttpResponseEncoder(),
-                        new RequestAggregator(this),
-                        new ClientRequestHandler(this, context.log()));
+                .addLast(decoder, new HttpResponseEncoder(), aggregator, new ClientExceptionHandler(context.log()));
     }
 
     // Reading
@@ -100,6 +82,7 @@
         }
         arrival.bytesRead();
         super.channelRead(ctx, message);
+        updateMemory();
     }
 
     private void countUnservedBytes(int bytes) {
@@ -138,20 +121,17 @@
     }
 
     /**
-     * Takes ownership of a complete request, and begins an exchange for it or, during another exchange, queues it. A
-     * request that could not be decoded is rejected. Drops the request if the connection is being closed.
+     * Takes ownership of a complete request, and begins an exchange for it or, during another exchange, queues it.
+     * Drops the request if the connection is being closed.
+     *
+     * @param use the memory that the request holds
      */
-    void requestReceived(FullHttpRequest request) {
+    void requestReceived(FullHttpRequest request, MemoryUse use) {
         if (!closing.isOpen() || !channel.isActive()) {
             request.release();
             return;
         }
-        if (request.decoderResult().isFailure()) {
-            request.release();
-            rejectAndClose(PlainTextResponse.badRequest("malformed request"));
-            return;
-        }
-        var next = new ClientExchange(context, this, request, arrival.requestCompleted());
+        var next = new ClientExchange(context, this, request, use, arrival.requestCompleted());
         if (exchange == null) {
             context.limiter().clientBusy(channel);
             exchange = next;
@@ -188,6 +168,7 @@
         idleSinceUs = context.clock().nowUs();
         exchange = keepAlive ? pipelinedRequests.poll() : null;
         if (!keepAlive) {
+            dropInput();
             closing.closeAfter(written);
         } else if (exchange != null) {
             exchange.begin();
@@ -199,10 +180,12 @@
             // Only once the response is written: an idle connection may be evicted, which would truncate the response.
             written.addListener(f -> markIdle());
         }
+        updateMemory();
+        written.addListener(f -> updateMemory());
     }
 
     private void markIdle() {
-        if (exchange == null && !hasUnwrittenData()) {
+        if (exchange == null && !PendingWrites.exist(channel)) {
             context.limiter().clientIdle(channel);
         }
     }
@@ -251,13 +234,24 @@
             return;
         }
         closing.deferFinalError(error);
-        // Without the decoder, the bytes that it has buffered are dropped; channelRead drops those that arrive later.
-        channel.pipeline().remove(decoder);
+        dropInput();
         if (exchange == null) {
             closing.sendFinalError();
         }
     }
 
+    /**
+     * Drops the incomplete request and the bytes that have not been decoded, and frees their memory; {@link
+     * #channelRead} drops the bytes that arrive later. To be called once the connection is no longer open for requests.
+     */
+    private void dropInput() {
+        if (decoder != null) {
+            channel.pipeline().remove(decoder);
+            decoder = null;
+        }
+        aggregator.discard();
+    }
+
     // End of the client's output, and disconnect
 
     @Override
@@ -289,6 +283,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         context.connections().remove(this);
+        memory.close();
         pipelinedRequests.releaseWaiting();
         closing.releaseFinalError();
         abandonExchange();
@@ -327,15 +322,15 @@
             enforceLingerTimeouts(closing.lingeringForUs(nowUs));
         } else if (arrival.isIncomplete() && !closing.isClosing()) {
             enforceRequestTimeout(nowUs);
-        } else if (nowUs - idleSinceUs > (hasUnwrittenData() ? WRITE_TIMEOUT_US : IDLE_TIMEOUT_US)) {
+        } else if (ClientTimeLimits.isIdleExceeded(nowUs - idleSinceUs, PendingWrites.exist(channel))) {
             channel.close();
         }
     }
 
     private void enforceLingerTimeouts(long lingeringUs) {
-        if (lingeringUs > LINGER_TIMEOUT_US) {
+        if (ClientTimeLimits.isLingerExceeded(lingeringUs)) {
             channel.close();
-        } else if (lingeringUs > SHUTDOWN_LINGER_TIMEOUT_US) {
+        } else if (ClientTimeLimits.isShutdownLingerExceeded(lingeringUs)) {
             context.connections().stopAwaiting(this);
         }
     }
@@ -346,14 +341,60 @@
      */
     private void enforceRequestTimeout(long nowUs) {
         long sinceUs = hasResponded ? arrival.firstByteAtUs() : idleSinceUs;
-        if (nowUs - sinceUs > REQUEST_TIMEOUT_US) {
+        if (ClientTimeLimits.isRequestExceeded(nowUs - sinceUs)) {
             rejectAndClose(PlainTextResponse.of(
                     HttpResponseStatus.REQUEST_TIMEOUT, "the request was not received completely in time"));
         }
     }
 
-    private boolean hasUnwrittenData() {
-        ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
-        return unwritten != null && !unwritten.isEmpty();
+    // Memory
+
+    /** Reports the memory that the messages of this connection hold; to be called after each change of it. */
+    private void updateMemory() {
+        MemoryUse inFlight = exchange != null && exchange.hasBegun() ? exchange.use() : MemoryUse.NONE;
+        memory.set(sheddable(ShedStage.WAITING_FOR_CLIENT).plus(inFlight));
+    }
+
+    @Override
+    public MemoryUse sheddable(ShedStage stage) {
+        if (stage != ShedStage.WAITING_FOR_CLIENT) {
+            return MemoryUse.NONE;
+        }
+        MemoryUse incomplete = aggregator.use().plus(new MemoryUse(undecodedBytes(), PendingWrites.bytes(channel)));
+        MemoryUse undispatched = incomplete.plus(pipelinedRequests.use());
+        return exchange == null || exchange.hasBegun() ? undispatched : undispatched.plus(exchange.use());
+    }
+
+    /**
+     * Rejects the requests that have not been dispatched, or closes the connection if the client does not read its
+     * responses.
+     */
+    @Override
+    public void shed(ShedStage stage) {
+        if (PendingWrites.exist(channel)) {
+            channel.close();
+        } else {
+            rejectUndispatched(context.overloadRetryAfterUs());
+        }
+        updateMemory();
+    }
+
+    private void rejectUndispatched(long retryAfterUs) {
+        pipelinedRequests.moveWaitingToOverflow();
+        if (undecodedBytes() > 0 || !aggregator.isEmpty()) {
+            rejectAndClose(PlainTextResponse.rejection(retryAfterUs));
+        }
+        if (exchange != null && !exchange.hasBegun()) {
+            exchange.sendRejection(retryAfterUs);
+        }
+    }
+
+    private long undecodedBytes() {
+        return decoder == null ? 0 : decoder.heapBytes();
+    }
+
+    @Override
+    public String peer() {
+        return "client " + channel.remoteAddress();
     }
 }
--- a/src/main/java/gaugegw/proxy/client/ClientContext.java
+++ b/src/main/java/gaugegw/proxy/client/ClientContext.java
@@ -2,6 +2,7 @@
 
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.transport.ConnectionLimiter;
 
@@ -12,6 +13,9 @@
  * @param log the log for operators
  * @param dispatcher receives the parsed requests
  * @param limiter counts the connections and evicts idle ones
+ * @param memory limits the memory that unfinished messages hold
+ * @param overloadRetryAfterUs the Retry-After of a request that is rejected for lack of memory, in microseconds; 0 if
+ *     the settings permit none
  * @param requestParser checks and parses requests
  * @param delayEstimator estimates when a byte that is read now was received
  * @param connections all open connections
@@ -22,6 +26,8 @@
         RateLimitedLog log,
         RequestDispatcher dispatcher,
         ConnectionLimiter limiter,
+        MemoryLimiter memory,
+        long overloadRetryAfterUs,
         ClientRequestParser requestParser,
         EventLoopDelayEstimator delayEstimator,
         ClientConnectionRegistry connections,
--- a/src/main/java/gaugegw/proxy/client/ClientExchange.java
+++ b/src/main/java/gaugegw/proxy/client/ClientExchange.java
@@ -3,16 +3,15 @@
 import gaugegw.proxy.dispatch.ClientRequest;
 import gaugegw.proxy.dispatch.ResponseSink;
 import gaugegw.proxy.http.ProtocolHeaders;
+import gaugegw.proxy.memory.MemoryUse;
 import gaugegw.proxy.upstream.UpstreamResponse;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import java.util.Locale;
 
 /**
  * A complete request and its one response. The exchange owns the request, and releases it when it responds, when the
@@ -24,30 +23,51 @@
     private final ClientContext context;
     private final ClientConnection connection;
     private final FullHttpRequest request;
+    private final MemoryUse use;
     private final long firstByteAtUs;
+    private boolean begun;
     /** Null until the request has been dispatched. */
     private String requestId;
 
     /**
      * Creates an exchange.
      *
+     * @param use the memory that the request holds
      * @param firstByteAtUs when the first byte of the request was received, on the proxy's clock
      */
-    ClientExchange(ClientContext context, ClientConnection connection, FullHttpRequest request, long firstByteAtUs) {
+    ClientExchange(
+            ClientContext context,
+            ClientConnection connection,
+            FullHttpRequest request,
+            MemoryUse use,
+            long firstByteAtUs) {
         this.context = context;
         this.connection = connection;
         this.request = request;
+        this.use = use;
         this.firstByteAtUs = firstByteAtUs;
     }
 
+    /** Returns the memory that the request holds until the exchange releases it. */
+    MemoryUse use() {
+        return use;
+    }
+
+    /** Returns whether the request may have been dispatched; if not, it can still be rejected. */
+    boolean hasBegun() {
+        return begun;
+    }
+
     /**
-     * Dispatches the request. Responds to it directly if it is a readiness check, if it is invalid or if the client has
-     * ended its output. Does nothing if the client has disconnected.
+     * Dispatches the request. Responds to it directly if it is a readiness check, if it is invalid, if the client has
+     * ended its output or if there is not enough memory for another request in flight. Does nothing if the client has
+     * disconnected.
      */
     void begin() {
         if (!connection.isCurrent(this) || !connection.isActive()) {
             return;
         }
+        begun = true;
         if (connection.hasClientOutputEnded()) {
             sendRejection(0);
             return;
@@ -67,6 +87,10 @@
             respondWithErrorAndClose(PlainTextResponse.badRequest("malformed request target"));
             return;
         }
+        if (!context.memory().canAdmit()) {
+            sendRejection(context.overloadRetryAfterUs());
+            return;
+        }
         requestId = parsed.id();
         context.dispatcher().requestArrived(parsed, this);
     }
@@ -104,12 +128,7 @@
 
     @Override
     public void sendRejection(long retryAfterUs) {
-        FullHttpResponse response =
-                PlainTextResponse.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "not now; trying again is harmless");
-        if (retryAfterUs > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
-        }
-        respond(response);
+        respond(PlainTextResponse.rejection(retryAfterUs));
     }
 
     @Override
--- a/src/main/java/gaugegw/proxy/client/Frontend.java
+++ b/src/main/java/gaugegw/proxy/client/Frontend.java
@@ -3,6 +3,7 @@
 import gaugegw.balancer.api.BalancerSettings;
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.transport.ConnectionLimiter;
 import gaugegw.proxy.transport.Transport;
@@ -21,6 +22,12 @@
     /** Interval at which the time limits of all connections are checked, in microseconds. */
     private static final long TIME_LIMIT_CHECK_INTERVAL_US = 100_000;
 
+    /**
+     * Retry-After of a request that is rejected for lack of memory, in microseconds, if the settings permit as much.
+     * Most of the memory that incomplete requests hold is free by then.
+     */
+    private static final long OVERLOAD_RETRY_AFTER_US = 1_000_000;
+
     private final ClientContext context;
     /** The listening channel; null until {@link #listen} is called. */
     private Channel listeningChannel;
@@ -35,6 +42,7 @@
             RateLimitedLog log,
             RequestDispatcher dispatcher,
             ConnectionLimiter limiter,
+            MemoryLimiter memory,
             BalancerSettings settings,
             BooleanSupplier canServe) {
         context = new ClientContext(
@@ -42,6 +50,8 @@
                 log,
                 dispatcher,
                 limiter,
+                memory,
+                Math.min(OVERLOAD_RETRY_AFTER_US, settings.limits().maxRetryAfterUs()),
                 new ClientRequestParser(settings, dispatcher::isServing),
                 new EventLoopDelayEstimator(clock),
                 new ClientConnectionRegistry(),
--- a/src/main/java/gaugegw/proxy/client/PipelinedRequests.java
+++ b/src/main/java/gaugegw/proxy/client/PipelinedRequests.java
@@ -1,5 +1,6 @@
 package gaugegw.proxy.client;
 
+import gaugegw.proxy.memory.MemoryUse;
 import java.util.ArrayDeque;
 import java.util.Queue;
 
@@ -36,6 +37,11 @@
         return waiting.poll();
     }
 
+    /** Returns the memory that the waiting requests hold. */
+    MemoryUse use() {
+        return waiting.stream().map(ClientExchange::use).reduce(MemoryUse.NONE, MemoryUse::plus);
+    }
+
     boolean isEmpty() {
         return waiting.isEmpty() && overflowCount == 0;
     }
--- a/src/main/java/gaugegw/proxy/client/PlainTextResponse.java
+++ b/src/main/java/gaugegw/proxy/client/PlainTextResponse.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** Creates the responses that the proxy itself generates: a status and a line of text. */
 final class PlainTextResponse {
@@ -27,6 +28,19 @@
         return of(HttpResponseStatus.BAD_REQUEST, text);
     }
 
+    /**
+     * Creates the response to a request that was not executed.
+     *
+     * @param retryAfterUs the earliest time for a retry, in microseconds from now; 0 if the response has no Retry-After
+     */
+    static FullHttpResponse rejection(long retryAfterUs) {
+        FullHttpResponse response = of(HttpResponseStatus.SERVICE_UNAVAILABLE, "not now; trying again is harmless");
+        if (retryAfterUs > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
+        }
+        return response;
+    }
+
     static FullHttpResponse tooManyRequests() {
         return of(HttpResponseStatus.TOO_MANY_REQUESTS, "too many pipelined requests; this one was not executed");
     }
--- a/src/main/java/gaugegw/proxy/client/RequestAggregator.java
+++ b/src/main/java/gaugegw/proxy/client/RequestAggregator.java
@@ -1,44 +1,124 @@
 package gaugegw.proxy.client;
 
+import gaugegw.proxy.http.BodyBuffer;
 import gaugegw.proxy.http.HttpLimits;
+import gaugegw.proxy.http.MessageSize;
+import gaugegw.proxy.memory.MemoryUse;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.ReferenceCountUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /**
  * Aggregates the parts of a request into a complete request. A request with an invalid head or with a body that is too
- * long is rejected before the rest of its body is received. The rejections of Netty's aggregator are replaced, as they
- * would be written at once, before the responses to earlier requests.
+ * long is rejected before the rest of its body is received. Unlike Netty's aggregator, this one rejects a request only
+ * after the responses to earlier requests, and the memory that it holds is in proportion to the bytes received; see
+ * {@link BodyBuffer}. Trailers are dropped. Owns the incomplete request. Used on the event loop only.
  */
-final class RequestAggregator extends HttpObjectAggregator {
+final class RequestAggregator extends SimpleChannelInboundHandler<HttpObject> {
     private final ClientConnection connection;
+    private final BodyBuffer body = new BodyBuffer(HttpLimits.MAX_BODY_BYTES);
+    /** The head of the incomplete request; null if no head has been received. */
+    private HttpRequest head;
+
+    private long headBytes;
 
     RequestAggregator(ClientConnection connection) {
-        super(HttpLimits.MAX_BODY_BYTES);
         this.connection = connection;
     }
 
+    /** Returns the memory that the incomplete request holds. */
+    MemoryUse use() {
+        return new MemoryUse(headBytes, body.capacity());
+    }
+
+    /** Returns whether there is no incomplete request whose head has been received. */
+    boolean isEmpty() {
+        return head == null;
+    }
+
+    /** Drops the incomplete request, if any, and frees its memory. */
+    void discard() {
+        head = null;
+        headBytes = 0;
+        body.release();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext ctx) {
+        discard();
+    }
+
     @Override
-    protected void decode(ChannelHandlerContext ctx, HttpObject part, List<Object> out) throws Exception {
-        FullHttpResponse error = part instanceof HttpRequest head ? errorFor(head) : null;
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        discard();
+        super.channelInactive(ctx);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+        if (part instanceof HttpRequest received) {
+            headReceived(ctx, received);
+        }
+        // After a rejection the decoder may still pass on parts of the same read.
+        if (part instanceof HttpContent content && head != null) {
+            contentReceived(content);
+        }
+    }
+
+    private void headReceived(ChannelHandlerContext ctx, HttpRequest received) {
+        FullHttpResponse error = errorFor(received);
         if (error != null) {
-            ReferenceCountUtil.release(part);
             connection.rejectAndClose(error);
-        } else {
-            super.decode(ctx, part, out);
+            return;
+        }
+        head = received;
+        headBytes = received.uri().length() + MessageSize.heapBytes(received.headers());
+        if (HttpUtil.is100ContinueExpected(received)) {
+            var proceed = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
+            ctx.writeAndFlush(proceed).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         }
     }
 
+    private void contentReceived(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            connection.rejectAndClose(PlainTextResponse.badRequest("malformed request"));
+        } else if (!body.append(content.content())) {
+            connection.rejectAndClose(bodyTooLong());
+        } else if (content instanceof LastHttpContent) {
+            requestCompleted();
+        }
+    }
+
+    private void requestCompleted() {
+        MemoryUse requestUse = use();
+        var request = new DefaultFullHttpRequest(
+                head.protocolVersion(),
+                head.method(),
+                head.uri(),
+                body.take(),
+                head.headers(),
+                EmptyHttpHeaders.INSTANCE);
+        head = null;
+        headBytes = 0;
+        connection.requestReceived(request, requestUse);
+    }
+
     /** Returns the error response for a request with an invalid head, or null if the head is valid. */
     private static FullHttpResponse errorFor(HttpRequest head) {
         if (head.decoderResult().isFailure()) {
@@ -50,9 +130,18 @@
         if (hasUnsupportedExpectation(head)) {
             return PlainTextResponse.of(HttpResponseStatus.EXPECTATION_FAILED, "unsupported expectation");
         }
+        if (HttpUtil.getContentLength(head, 0L) > HttpLimits.MAX_BODY_BYTES) {
+            return bodyTooLong();
+        }
         return null;
     }
 
+    private static FullHttpResponse bodyTooLong() {
+        return PlainTextResponse.of(
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                "the body is longer than " + HttpLimits.MAX_BODY_BYTES / 1024 + " KiB");
+    }
+
     /**
      * Returns whether a request has a transfer coding other than a single {@code chunked} in HTTP/1.1. Netty only looks
      * for {@code chunked} among the codings, and would misjudge where a body with another coding ends.
@@ -75,20 +164,4 @@
                 && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)
                 && head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
     }
-
-    @Override
-    protected Object newContinueResponse(HttpMessage head, int maxBodyBytes, ChannelPipeline pipeline) {
-        if (isContentLengthInvalid(head, maxBodyBytes)) {
-            // handleOversizedMessage sends status 413, after the responses to the requests before this one.
-            return null;
-        }
-        return super.newContinueResponse(head, maxBodyBytes, pipeline);
-    }
-
-    @Override
-    protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-        connection.rejectAndClose(PlainTextResponse.of(
-                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                "the body is longer than " + HttpLimits.MAX_BODY_BYTES / 1024 + " KiB"));
-    }
 }
--- a/src/main/java/gaugegw/proxy/config/ProxyConfig.java
+++ b/src/main/java/gaugegw/proxy/config/ProxyConfig.java
@@ -17,6 +17,7 @@
  * @param listenAddress the address on which the proxy accepts clients
  * @param discoveryAddress the address of the discovery service or of the local agent
  * @param descriptorLimit the number of file descriptors that the process may have open
+ * @param memoryLimitBytes the memory that the process may use, in bytes; {@code Long.MAX_VALUE} if there is no limit
  * @param cachedEndpoints the endpoint list that this proxy received last, in discovery's format; a {@link MissingNode}
  *     if there is none
  * @param settings the settings of the load balancer
@@ -28,6 +29,7 @@
         InetSocketAddress listenAddress,
         InetSocketAddress discoveryAddress,
         int descriptorLimit,
+        long memoryLimitBytes,
         JsonNode cachedEndpoints,
         BalancerSettings settings,
         long backendIdleTimeoutUs,
@@ -73,6 +75,7 @@
                 address,
                 discoveryAddress,
                 descriptorLimit,
+                memoryLimitBytes,
                 cachedEndpoints,
                 settings,
                 backendIdleTimeoutUs,
--- a/src/main/java/gaugegw/proxy/config/ProxyConfigReader.java
+++ b/src/main/java/gaugegw/proxy/config/ProxyConfigReader.java
@@ -14,6 +14,7 @@
     private static final int MIN_DESCRIPTORS = 128;
 
     private static final int SEED_RADIX = 16;
+    private static final double BYTES_PER_MB = 1_000_000;
 
     private final JsonNode json;
 
@@ -29,6 +30,7 @@
                     address("listen"),
                     address("discovery"),
                     descriptorLimit(),
+                    memoryLimitBytes(),
                     cachedEndpoints(),
                     settings(settings),
                     SettingsReader.backendIdleTimeoutUs(settings),
@@ -64,6 +66,18 @@
         return limit.asInt();
     }
 
+    /** Returns the memory limit, which the file states in megabytes; without it there is no limit. */
+    private long memoryLimitBytes() throws InvalidConfigException {
+        JsonNode limit = json.path("limits").path("memory_mb");
+        if (limit.isMissingNode()) {
+            return Long.MAX_VALUE;
+        }
+        if (!limit.isNumber() || limit.asDouble() <= 0) {
+            throw InvalidConfigException.invalidValue("limits.memory_mb", limit.asText(), "a number above 0");
+        }
+        return (long) (limit.asDouble() * BYTES_PER_MB);
+    }
+
     private JsonNode cachedEndpoints() {
         JsonNode known = json.path("known");
         return known.isObject() ? known : MissingNode.getInstance();
--- a/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
@@ -8,6 +8,8 @@
 import gaugegw.proxy.discovery.EndpointWatcher;
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.memory.MemoryBudget;
+import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.transport.ConnectionLimiter;
 import gaugegw.proxy.transport.Transport;
@@ -56,8 +58,9 @@
         var clock = new Clock();
         var settings = config.settings();
         var limiter = new ConnectionLimiter(loop, config.descriptorLimit());
-        var upstreams =
-                new UpstreamClient(clock, transport, limiter, config.backendIdleTimeoutUs(), config.connectTimeoutUs());
+        var memory = new MemoryLimiter(clock::nowUs, log, MemoryBudget.ofRuntime(config.memoryLimitBytes()));
+        var upstreams = new UpstreamClient(
+                clock, transport, limiter, memory, config.backendIdleTimeoutUs(), config.connectTimeoutUs());
         dispatcher = new RequestDispatcher(clock, loop, log, settings, loadBalancer, upstreams);
         endpointWatcher = new EndpointWatcher(transport, log, dispatcher, config.discoveryAddress(), settings);
         dispatcher.setEndpointWatcher(endpointWatcher);
@@ -66,6 +69,7 @@
                 log,
                 dispatcher,
                 limiter,
+                memory,
                 settings,
                 () -> endpointWatcher.firstCallFuture().isDone() && upstreams.hasReadyEndpoint());
         shutdown = new GracefulShutdown(loop, log, config, frontend, dispatcher);
--- a/src/main/java/gaugegw/proxy/lifecycle/Warmup.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/Warmup.java
@@ -36,6 +36,7 @@
                 address(PROXY_PORT),
                 address(DISCOVERY_PORT),
                 template.descriptorLimit(),
+                template.memoryLimitBytes(),
                 endpoints,
                 template.settings(),
                 template.backendIdleTimeoutUs(),
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamAttempt.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamAttempt.java
@@ -168,8 +168,8 @@
         if (!request.method().equals(HttpMethod.GET) || message.content().isReadable()) {
             HttpUtil.setContentLength(message, message.content().readableBytes());
         }
-        channel.pipeline().get(UpstreamConnectionHandler.class).assignAttempt(this);
-        channel.writeAndFlush(message).addListener(this::writeCompleted);
+        var connection = channel.pipeline().get(UpstreamConnectionHandler.class);
+        connection.writeRequest(this, message).addListener(this::writeCompleted);
     }
 
     private void writeCompleted(Future<?> write) {
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamClient.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamClient.java
@@ -3,6 +3,7 @@
 import gaugegw.balancer.api.EndpointState;
 import gaugegw.balancer.api.UpdateKind;
 import gaugegw.proxy.discovery.ListedEndpoint;
+import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.transport.ConnectionLimiter;
 import gaugegw.proxy.transport.Transport;
@@ -45,13 +46,15 @@
             Clock clock,
             Transport transport,
             ConnectionLimiter limiter,
+            MemoryLimiter memory,
             long backendIdleTimeoutUs,
             long connectTimeoutUs) {
         long idleTimeoutUs = backendIdleTimeoutUs * IDLE_TIMEOUT_PERCENT / 100;
         int connectTimeoutMs = (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs));
         Bootstrap bootstrap =
                 transport.clientBootstrap().clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs);
-        context = new UpstreamContext(clock, transport, limiter, bootstrap, idleTimeoutUs, new LearnedIdleLimit());
+        context = new UpstreamContext(
+                clock, transport, limiter, memory, bootstrap, idleTimeoutUs, new LearnedIdleLimit());
     }
 
     /** Returns whether at least one endpoint accepts new attempts. */
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
@@ -3,9 +3,16 @@
 import gaugegw.balancer.api.AttemptOutcome;
 import gaugegw.proxy.http.HttpLimits;
 import gaugegw.proxy.http.StrictResponseDecoder;
+import gaugegw.proxy.memory.MemoryAccount;
+import gaugegw.proxy.memory.MemoryHolder;
+import gaugegw.proxy.memory.MemoryUse;
+import gaugegw.proxy.memory.ShedStage;
+import gaugegw.proxy.transport.PendingWrites;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpContentException;
@@ -17,7 +24,7 @@
  * been read, because bytes after the response show that the connection must not be reused. Used on the event loop only.
  */
 final class UpstreamConnectionHandler extends SimpleChannelInboundHandler<FullHttpResponse>
-        implements StallDetector.Connection {
+        implements StallDetector.Connection, MemoryHolder {
     /** Maximum size of a response in bytes, with its headers, its chunk framing and the interim responses before it. */
     private static final long MAX_RESPONSE_BYTES = 2 * HttpLimits.MAX_BODY_BYTES;
     /**
@@ -30,7 +37,9 @@
     private final UpstreamEndpoint endpoint;
     private final Channel channel;
     private final StrictResponseDecoder decoder;
+    private final ResponseAggregator aggregator;
     private final StallDetector stallDetector;
+    private final MemoryAccount memory;
     /** The attempt that is waiting for a response on this connection; null while there is none. */
     private UpstreamAttempt attempt;
     /** The attempt's response, from when it is decoded to the end of the read; null otherwise. */
@@ -43,12 +52,18 @@
     private long idleBeforeAttemptUs;
 
     UpstreamConnectionHandler(
-            UpstreamContext context, UpstreamEndpoint endpoint, Channel channel, StrictResponseDecoder decoder) {
+            UpstreamContext context,
+            UpstreamEndpoint endpoint,
+            Channel channel,
+            StrictResponseDecoder decoder,
+            ResponseAggregator aggregator) {
         this.context = context;
         this.endpoint = endpoint;
         this.channel = channel;
         this.decoder = decoder;
+        this.aggregator = aggregator;
         this.stallDetector = new StallDetector(context.loop(), this);
+        this.memory = context.memory().open(this);
     }
 
     Channel channel() {
@@ -59,11 +74,17 @@
         channel.close();
     }
 
-    /** Sets the attempt whose request is about to be written on this connection. */
-    void assignAttempt(UpstreamAttempt next) {
+    /** Assigns an attempt to this connection and writes its request, which the write releases. */
+    ChannelFuture writeRequest(UpstreamAttempt next, FullHttpRequest request) {
         attempt = next;
         idleBeforeAttemptUs = idleSinceUs == 0 ? 0 : context.clock().nowUs() - idleSinceUs;
         decoder.resetReceivedBytes();
+        ChannelFuture written = channel.writeAndFlush(request);
+        if (!written.isDone()) {
+            updateMemory();
+            written.addListener(f -> updateMemory());
+        }
+        return written;
     }
 
     /** Records that the connection is idle from now on. */
@@ -100,6 +121,7 @@
         } else if (decoder.receivedBytes() > 0) {
             stallDetector.start();
         }
+        updateMemory();
         super.channelReadComplete(ctx);
     }
 
@@ -175,6 +197,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         endpoint.pool().connectionClosed(this);
+        memory.close();
         stallDetector.stop();
         if (response != null) {
             response.release();
@@ -198,6 +221,31 @@
         failed.complete(failed.isRequestWritten() ? AttemptOutcome.RESET : AttemptOutcome.CONNECT_FAILED, null);
     }
 
+    /** Reports the memory that the request being written and the incomplete response hold. */
+    private void updateMemory() {
+        memory.set(aggregator.use().plus(new MemoryUse(decoder.heapBytes(), PendingWrites.bytes(channel))));
+    }
+
+    @Override
+    public MemoryUse sheddable(ShedStage stage) {
+        return stage == ShedStage.WAITING_FOR_BACKEND && attempt != null ? memory.use() : MemoryUse.NONE;
+    }
+
+    /** Closes the connection and ends its attempt; the backend may have executed a request that it has received. */
+    @Override
+    public void shed(ShedStage stage) {
+        UpstreamAttempt given = attempt;
+        attempt = null;
+        channel.close();
+        memory.set(MemoryUse.NONE);
+        given.complete(given.isRequestWritten() ? AttemptOutcome.ERROR : AttemptOutcome.CONNECT_FAILED, null);
+    }
+
+    @Override
+    public String peer() {
+        return "backend " + endpoint.address();
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
         if (event instanceof IdleStateEvent && attempt == null) {
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
@@ -1,13 +1,11 @@
 package gaugegw.proxy.upstream;
 
-import gaugegw.proxy.http.HttpLimits;
 import gaugegw.proxy.http.StrictResponseDecoder;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.pool.AbstractChannelPoolHandler;
 import io.netty.channel.pool.SimpleChannelPool;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.Promise;
@@ -151,13 +149,14 @@
         public void channelCreated(Channel channel) {
             context.limiter().backendOpened(channel);
             var decoder = new StrictResponseDecoder();
+            var aggregator = new ResponseAggregator();
             channel.pipeline()
                     .addLast(
                             new HttpRequestEncoder(),
                             decoder,
-                            new HttpObjectAggregator(HttpLimits.MAX_BODY_BYTES),
+                            aggregator,
                             new IdleStateHandler(0, 0, context.idleTimeoutUs(), TimeUnit.MICROSECONDS),
-                            new UpstreamConnectionHandler(context, endpoint, channel, decoder));
+                            new UpstreamConnectionHandler(context, endpoint, channel, decoder, aggregator));
         }
     }
 }
