Keep periodic tasks running after a failure

Cause: Netty cancels a periodic task once it throws, and its failure is seen by nobody. After a single error, such as one allocation that fails, the time limits of all client connections would have ended for good.

Change: PeriodicTask reports the failure and runs again, also if the report fails. The time limits of one connection that fail close that connection only. The time limit of a call to discovery works though its connect has thrown. RequestAggregator now holds the decoder's part of an incomplete request as well, which ClientConnection did.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -36,10 +36,8 @@
 
     private final ClientContext context;
     private final Channel channel;
-    /** Null once the input is dropped: a decoder that has been removed still refers to its incomplete message. */
-    private StrictRequestDecoder decoder = new StrictRequestDecoder();
 
-    private final RequestAggregator aggregator = new RequestAggregator(this);
+    private final RequestAggregator aggregator;
     private final PipelinedRequests pipelinedRequests = new PipelinedRequests();
     private final RequestArrival arrival;
     private final ClosingSequence closing;
@@ -56,6 +54,7 @@
     ClientConnection(ClientContext context, Channel channel) {
         this.context = context;
         this.channel = channel;
+        this.aggregator = new RequestAggregator(this, channel.pipeline());
         this.arrival = new RequestArrival(context.delayEstimator());
         this.closing = new ClosingSequence(channel, context.clock(), context.limiter());
         this.memory = context.memory().open(this);
@@ -65,8 +64,8 @@
     public void handlerAdded(ChannelHandlerContext ctx) {
         idleSinceUs = context.clock().nowUs();
         context.connections().add(this);
-        channel.pipeline()
-                .addLast(decoder, new HttpResponseEncoder(), aggregator, new ClientExceptionHandler(context.log()));
+        channel.pipeline().addLast(new StrictRequestDecoder());
+        channel.pipeline().addLast(new HttpResponseEncoder(), aggregator, new ClientExceptionHandler(context.log()));
     }
 
     // Reading
@@ -168,7 +167,7 @@
         idleSinceUs = context.clock().nowUs();
         exchange = keepAlive ? pipelinedRequests.poll() : null;
         if (!keepAlive) {
-            dropInput();
+            aggregator.dropInput();
             closing.closeAfter(written);
         } else if (exchange != null) {
             exchange.begin();
@@ -234,24 +233,12 @@
             return;
         }
         closing.deferFinalError(error);
-        dropInput();
+        aggregator.dropInput();
         if (exchange == null) {
             closing.sendFinalError();
         }
     }
 
-    /**
-     * Drops the incomplete request and the bytes that have not been decoded, and frees their memory; {@link
-     * #channelRead} drops the bytes that arrive later. To be called once the connection is no longer open for requests.
-     */
-    private void dropInput() {
-        if (decoder != null) {
-            channel.pipeline().remove(decoder);
-            decoder = null;
-        }
-        aggregator.discard();
-    }
-
     // End of the client's output, and disconnect
 
     @Override
@@ -327,6 +314,11 @@
         }
     }
 
+    /** Logs an unexpected error and closes the connection; see {@link ClientExceptionHandler}. */
+    void closeAfterFailure(Throwable failure) {
+        channel.pipeline().fireExceptionCaught(failure);
+    }
+
     private void enforceLingerTimeouts(long lingeringUs) {
         if (ClientTimeLimits.isLingerExceeded(lingeringUs)) {
             channel.close();
@@ -360,7 +352,7 @@
         if (stage != ShedStage.WAITING_FOR_CLIENT) {
             return MemoryUse.NONE;
         }
-        MemoryUse incomplete = aggregator.use().plus(new MemoryUse(undecodedBytes(), PendingWrites.bytes(channel)));
+        MemoryUse incomplete = aggregator.use().plus(new MemoryUse(0, PendingWrites.bytes(channel)));
         MemoryUse undispatched = incomplete.plus(pipelinedRequests.use());
         return exchange == null || exchange.hasBegun() ? undispatched : undispatched.plus(exchange.use());
     }
@@ -381,7 +373,7 @@
 
     private void rejectUndispatched(long retryAfterUs) {
         pipelinedRequests.moveWaitingToOverflow();
-        if (undecodedBytes() > 0 || !aggregator.isEmpty()) {
+        if (!aggregator.isEmpty()) {
             rejectAndClose(PlainTextResponse.rejection(retryAfterUs));
         }
         if (exchange != null && !exchange.hasBegun()) {
@@ -389,10 +381,6 @@
         }
     }
 
-    private long undecodedBytes() {
-        return decoder == null ? 0 : decoder.heapBytes();
-    }
-
     @Override
     public String peer() {
         return "client " + channel.remoteAddress();
--- a/src/main/java/gaugegw/proxy/client/ClientConnectionRegistry.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnectionRegistry.java
@@ -38,8 +38,17 @@
     /** Enforces the time limits of all connections. */
     void enforceTimeLimits(long nowUs) {
         // Iterates over copies, as connections may be moved or removed meanwhile.
-        List.copyOf(noLongerAwaited).forEach(connection -> connection.enforceTimeLimits(nowUs));
-        List.copyOf(awaited).forEach(connection -> connection.enforceTimeLimits(nowUs));
+        List.copyOf(noLongerAwaited).forEach(connection -> enforceTimeLimits(connection, nowUs));
+        List.copyOf(awaited).forEach(connection -> enforceTimeLimits(connection, nowUs));
+    }
+
+    /** Closes the connection if its time limits can't be enforced, so that those of the others still are. */
+    private static void enforceTimeLimits(ClientConnection connection, long nowUs) {
+        try {
+            connection.enforceTimeLimits(nowUs);
+        } catch (RuntimeException | Error e) {
+            connection.closeAfterFailure(e);
+        }
     }
 
     /** Closes the connections that have no exchange and no incomplete request. */
--- a/src/main/java/gaugegw/proxy/client/EventLoopDelayEstimator.java
+++ b/src/main/java/gaugegw/proxy/client/EventLoopDelayEstimator.java
@@ -1,8 +1,9 @@
 package gaugegw.proxy.client;
 
 import gaugegw.proxy.transport.Clock;
+import gaugegw.proxy.transport.PeriodicTask;
 import io.netty.channel.EventLoop;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Estimates when a byte that is read now was received. While the event loop is delayed, by a pause of the process or by
@@ -28,10 +29,14 @@
         this.clock = clock;
     }
 
-    /** Starts the periodic task, which runs until the event loop ends. */
-    void start(EventLoop loop) {
+    /**
+     * Starts the periodic task, which runs until the event loop ends.
+     *
+     * @param failureHandler called with what the task has thrown
+     */
+    void start(EventLoop loop, Consumer<Throwable> failureHandler) {
         lastTickAtUs = clock.nowUs();
-        loop.scheduleWithFixedDelay(this::tick, TICK_INTERVAL_US, TICK_INTERVAL_US, TimeUnit.MICROSECONDS);
+        PeriodicTask.start(loop, TICK_INTERVAL_US, this::tick, failureHandler);
     }
 
     /** Returns the earliest time at which a byte that is read now may have been received, on the proxy's clock. */
--- a/src/main/java/gaugegw/proxy/client/Frontend.java
+++ b/src/main/java/gaugegw/proxy/client/Frontend.java
@@ -6,12 +6,12 @@
 import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.transport.ConnectionLimiter;
+import gaugegw.proxy.transport.PeriodicTask;
 import gaugegw.proxy.transport.Transport;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -60,15 +60,9 @@
 
     /** Starts listening and returns the future of the bind. May be called on any thread. */
     public ChannelFuture listen(Transport transport, InetSocketAddress address) {
-        context.delayEstimator().start(transport.loop());
+        context.delayEstimator().start(transport.loop(), this::taskFailed);
         // One timer serves all connections: a timer per connection would have to be rescheduled with each request.
-        transport
-                .loop()
-                .scheduleWithFixedDelay(
-                        this::enforceTimeLimits,
-                        TIME_LIMIT_CHECK_INTERVAL_US,
-                        TIME_LIMIT_CHECK_INTERVAL_US,
-                        TimeUnit.MICROSECONDS);
+        PeriodicTask.start(transport.loop(), TIME_LIMIT_CHECK_INTERVAL_US, this::enforceTimeLimits, this::taskFailed);
         ChannelFuture bound = transport
                 .serverBootstrap()
                 .clone()
@@ -89,6 +83,10 @@
         context.connections().enforceTimeLimits(context.clock().nowUs());
     }
 
+    private void taskFailed(Throwable failure) {
+        context.log().writeException("a periodic task of the frontend failed, it runs again at its next turn", failure);
+    }
+
     /**
      * Makes readiness checks fail from now on, so that clients choose another proxy. Requests that still arrive are
      * served.
--- a/src/main/java/gaugegw/proxy/client/RequestAggregator.java
+++ b/src/main/java/gaugegw/proxy/client/RequestAggregator.java
@@ -3,10 +3,12 @@
 import gaugegw.proxy.http.BodyBuffer;
 import gaugegw.proxy.http.HttpLimits;
 import gaugegw.proxy.http.MessageSize;
+import gaugegw.proxy.http.StrictRequestDecoder;
 import gaugegw.proxy.memory.MemoryUse;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -31,28 +33,51 @@
  */
 final class RequestAggregator extends SimpleChannelInboundHandler<HttpObject> {
     private final ClientConnection connection;
+    private final ChannelPipeline pipeline;
     private final BodyBuffer body = new BodyBuffer(HttpLimits.MAX_BODY_BYTES);
     /** The head of the incomplete request; null if no head has been received. */
     private HttpRequest head;
 
     private long headBytes;
 
-    RequestAggregator(ClientConnection connection) {
+    /**
+     * Creates an aggregator without a request.
+     *
+     * @param pipeline the pipeline to which this handler is added after a {@link StrictRequestDecoder}
+     */
+    RequestAggregator(ClientConnection connection, ChannelPipeline pipeline) {
         this.connection = connection;
+        this.pipeline = pipeline;
     }
 
-    /** Returns the memory that the incomplete request holds. */
+    /** Returns the memory that the incomplete request and the bytes that have not been decoded hold. */
     MemoryUse use() {
-        return new MemoryUse(headBytes, body.capacity());
+        return new MemoryUse(headBytes + undecodedBytes(), body.capacity());
     }
 
-    /** Returns whether there is no incomplete request whose head has been received. */
+    /** Returns whether there is no part of an incomplete request. */
     boolean isEmpty() {
-        return head == null;
+        return head == null && undecodedBytes() == 0;
+    }
+
+    private long undecodedBytes() {
+        StrictRequestDecoder decoder = pipeline.get(StrictRequestDecoder.class);
+        return decoder == null ? 0 : decoder.heapBytes();
+    }
+
+    /**
+     * Drops the incomplete request and the bytes that have not been decoded, and frees their memory. The decoder is
+     * removed, so no further request is received. No reference to it may be kept: it still refers to its incomplete
+     * head.
+     */
+    void dropInput() {
+        if (pipeline.get(StrictRequestDecoder.class) != null) {
+            pipeline.remove(StrictRequestDecoder.class);
+        }
+        discard();
     }
 
-    /** Drops the incomplete request, if any, and frees its memory. */
-    void discard() {
+    private void discard() {
         head = null;
         headBytes = 0;
         body.release();
@@ -106,7 +131,7 @@
     }
 
     private void requestCompleted() {
-        MemoryUse requestUse = use();
+        var requestUse = new MemoryUse(headBytes, body.capacity());
         var request = new DefaultFullHttpRequest(
                 head.protocolVersion(),
                 head.method(),
--- a/src/main/java/gaugegw/proxy/discovery/DiscoveryCall.java
+++ b/src/main/java/gaugegw/proxy/discovery/DiscoveryCall.java
@@ -45,7 +45,9 @@
     private final DiscoveryQuery query;
     private final Listener listener;
     private ScheduledFuture<?> timeoutTimer;
+    /** Null until {@link #start} has begun to connect. */
     private Channel channel;
+
     private boolean responseStarted;
     private boolean ended;
 
@@ -107,8 +109,8 @@
         ended = true;
         timeoutTimer.cancel(false);
         // If no channel could be created, Netty returned a placeholder, which is not open and has no event loop that
-        // could close it.
-        if (channel.isOpen()) {
+        // could close it. If the connect has thrown an exception, there is none, and the timeout ends the call.
+        if (channel != null && channel.isOpen()) {
             channel.close();
         }
     }
--- a/src/main/java/gaugegw/proxy/lifecycle/GracefulShutdown.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/GracefulShutdown.java
@@ -4,6 +4,7 @@
 import gaugegw.proxy.config.ProxyConfig;
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.transport.PeriodicTask;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -24,8 +25,8 @@
  * </ol>
  */
 final class GracefulShutdown {
-    /** Interval between two checks whether all clients have disconnected, in milliseconds. */
-    private static final long CHECK_INTERVAL_MS = 10;
+    /** Interval between two checks whether all clients have disconnected, in microseconds. */
+    private static final long CHECK_INTERVAL_US = 10_000;
 
     /** Maximum wait for the last log line, in milliseconds: a busy event loop must not delay the end of the process. */
     private static final long LAST_LOG_LINE_TIMEOUT_MS = 10;
@@ -80,8 +81,7 @@
     private void stopAccepting() {
         assert loop.inEventLoop();
         frontend.stopListening();
-        loop.scheduleWithFixedDelay(
-                this::checkConnectedClients, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.start(loop, CHECK_INTERVAL_US, this::checkConnectedClients, this::checkFailed);
     }
 
     private void checkConnectedClients() {
@@ -91,6 +91,11 @@
         }
     }
 
+    private void checkFailed(Throwable failure) {
+        log.writeException(
+                config.name() + ": could not check whether all clients have disconnected, checking again", failure);
+    }
+
     private void awaitDisconnects(long timeoutMs) {
         try {
             boolean allDisconnected = clientsDisconnected.await(timeoutMs, TimeUnit.MILLISECONDS);
