End the process with a message when its event loop has ended

Change: the unexpected end is reported on standard error, and the process ends at once with status 1, so that its platform restarts it.

--- a/src/main/java/gaugegw/proxy/lifecycle/ExitStatus.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/ExitStatus.java
@@ -5,6 +5,9 @@
     /** The proxy was drained after SIGTERM or another signal that ends the process. */
     static final int SUCCESS = 0;
 
+    /** The event loop has ended unexpectedly. */
+    static final int EVENT_LOOP_ENDED = 1;
+
     /** The command line names no known command. */
     public static final int USAGE = 2;
 
--- a/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
@@ -35,6 +35,8 @@
     private final EndpointWatcher endpointWatcher;
     private final Frontend frontend;
     private final GracefulShutdown shutdown;
+    /** Written by the thread that stops the proxy, read by a thread of Netty. */
+    private volatile boolean stopping;
 
     /** Creates a proxy that uses sockets and the production load balancer. */
     ProxyServer(ProxyConfig config) {
@@ -75,6 +77,18 @@
         shutdown = new GracefulShutdown(loop, log, config, frontend, dispatcher);
     }
 
+    /**
+     * Sets an action that runs if the event loop ends although {@link #stop} was not called, as after an error that
+     * nothing has caught. No request can be served then. The action runs on a thread of Netty.
+     */
+    void onUnexpectedEnd(Runnable action) {
+        loop.terminationFuture().addListener(f -> {
+            if (!stopping) {
+                action.run();
+            }
+        });
+    }
+
     /**
      * Starts to serve clients. Waits until the proxy listens.
      *
@@ -165,6 +179,7 @@
 
     /** Ends the event loop and with it all connections. Returns when the event loop has ended. */
     public void stop() {
+        stopping = true;
         loop.submit(() -> endpointWatcher.watch(false)).awaitUninterruptibly();
         loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
--- a/src/main/java/gaugegw/proxy/lifecycle/ServeCommand.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/ServeCommand.java
@@ -70,10 +70,21 @@
         Runtime.getRuntime().halt(ExitStatus.INVALID_CONFIG);
     }
 
+    /**
+     * Ends the process without a drain, which would need the event loop. Its platform then restarts it; a process
+     * without an event loop would accept connections and never respond.
+     */
+    private static void reportEndAndExit() {
+        System.err.println("the event loop has ended unexpectedly, exiting with status " + ExitStatus.EVENT_LOOP_ENDED
+                + " because no request can be served without it");
+        Runtime.getRuntime().halt(ExitStatus.EVENT_LOOP_ENDED);
+    }
+
     private void serve() throws InvalidConfigException {
         // The handlers are installed before the proxy listens: without them either signal would end the process, and
         // the requests in flight would be lost.
         Runtime.getRuntime().addShutdownHook(new Thread(this::drainAndHalt, "drain"));
+        server.onUnexpectedEnd(ServeCommand::reportEndAndExit);
         installTerminationHandler();
         installReloadTrigger();
         server.start();
