Parse the entries of an endpoint list one by one

Cause: a response of discovery may have 8 MiB, and was parsed into one tree of objects, which holds a multiple of that on a heap of 48 MiB. It is the same fault as that of incomplete requests: what is held was not in proportion to what was received. Found by reading, not seen in service.

Change: each entry's tree is dropped once its endpoint is made.

Measured: JsonTreesTest.streamsAnElementBeforeTheRestIsRead: at the first of 100,000 elements less than 64 KiB of the document are read. The memory of a real long list was not measured.

--- a/src/main/java/gaugegw/proxy/discovery/EndpointListParser.java
+++ b/src/main/java/gaugegw/proxy/discovery/EndpointListParser.java
@@ -20,6 +20,7 @@
  * still be applied. An endpoint whose entry is ignored in a complete list counts as removed.
  */
 final class EndpointListParser {
+    private static final String ENTRIES_FIELD = "servers";
     private static final int MAX_LOGGED_ENTRY_CHARS = 200;
     private static final double DEFAULT_WEIGHT = 1;
     private static final long NO_VERSION = -1;
@@ -36,14 +37,16 @@
     }
 
     /**
-     * Parses the body of a response from discovery and closes the stream.
+     * Parses the body of a response from discovery and closes the stream. Entries are parsed one by one: the tree of a
+     * long list would need many times the memory of the list.
      *
      * @throws MalformedListException if the document as a whole is not an endpoint list
      */
     EndpointList parse(InputStream document) throws MalformedListException {
+        var endpoints = new ArrayList<ListedEndpoint>();
         JsonNode list;
         try {
-            list = JsonTrees.read(document);
+            list = JsonTrees.readStreaming(document, ENTRIES_FIELD, entry -> addEndpoint(entry, endpoints));
         } catch (IOException e) {
             throw new MalformedListException("the response is not valid JSON");
         }
@@ -52,8 +55,7 @@
                     "the response is not an endpoint list: expected 'version' as a number of at"
                             + " least 0, 'full' as true or false, and 'servers' as an array");
         }
-        return new EndpointList(
-                list.path("version").asLong(), list.path("full").asBoolean(), endpoints(list.path("servers")));
+        return new EndpointList(list.path("version").asLong(), list.path("full").asBoolean(), endpoints);
     }
 
     private static boolean isList(JsonNode list) {
@@ -61,24 +63,28 @@
         return version.canConvertToLong()
                 && version.asLong() >= 0
                 && list.path("full").isBoolean()
-                && list.path("servers").isArray();
+                && list.path(ENTRIES_FIELD).isArray();
     }
 
     /** Parses the list that the proxy had before its restart. A missing node yields an empty list without a version. */
     CachedEndpointList parseCached(JsonNode list) {
         long version = list.path("version").asLong(NO_VERSION);
         return new CachedEndpointList(
-                version < 0 ? OptionalLong.empty() : OptionalLong.of(version), endpoints(list.path("servers")));
+                version < 0 ? OptionalLong.empty() : OptionalLong.of(version), endpoints(list.path(ENTRIES_FIELD)));
     }
 
     private List<ListedEndpoint> endpoints(JsonNode entries) {
         var endpoints = new ArrayList<ListedEndpoint>(entries.size());
         for (JsonNode entry : entries) {
-            endpoint(entry).ifPresentOrElse(endpoints::add, () -> logMalformed(entry));
+            addEndpoint(entry, endpoints);
         }
         return endpoints;
     }
 
+    private void addEndpoint(JsonNode entry, List<ListedEndpoint> endpoints) {
+        endpoint(entry).ifPresentOrElse(endpoints::add, () -> logMalformed(entry));
+    }
+
     private void logMalformed(JsonNode entry) {
         String text = entry.toString();
         String shortened =
