--- a/src/main/java/gaugegw/proxy/client/package-info.java
+++ b/src/main/java/gaugegw/proxy/client/package-info.java
@@ -10,13 +10,15 @@
  *
  * <p>The handlers of a connection's pipeline, starting at the socket: {@link gaugegw.proxy.client.ClientConnection},
  * {@link gaugegw.proxy.http.StrictRequestDecoder}, {@code HttpResponseEncoder}, {@link
- * gaugegw.proxy.client.RequestAggregator}, {@link gaugegw.proxy.client.ClientRequestHandler}. {@code ClientConnection}
+ * gaugegw.proxy.client.RequestAggregator}, {@link gaugegw.proxy.client.ClientExceptionHandler}. {@code ClientConnection}
  * comes first because it drops bytes that must not be decoded. The decoder is removed once the connection has a final
  * error, after which it is closed.
  *
- * <p>Buffer ownership: an exchange releases its request when it responds, when the client has disconnected, or when the
+ * <p>Buffer ownership: the aggregator owns an incomplete request. An exchange releases its request when it responds, when the client has disconnected, or when the
  * exchange is dropped before it has begun. The encoder releases a response once it is written; the exchange releases a
- * response that it can no longer send. The closing sequence releases a final error that was not sent.
+ * response that it can no longer send. The closing sequence releases a final error that was not sent. Each
+ * connection reports the memory that its messages hold to its {@link gaugegw.proxy.memory.MemoryAccount}, which may make
+ * it give up requests that have not been dispatched.
  *
  * <p>Threading: everything in this package runs on the proxy's event loop, except where {@link
  * gaugegw.proxy.client.Frontend} says otherwise, and nothing is synchronized.
--- a/src/main/java/gaugegw/proxy/upstream/package-info.java
+++ b/src/main/java/gaugegw/proxy/upstream/package-info.java
@@ -7,7 +7,7 @@
  * reports one outcome to its {@link gaugegw.proxy.upstream.AttemptListener}. This package never retries an attempt.
  *
  * <p>The handlers in the pipeline of a connection, starting at the socket: {@code HttpRequestEncoder}, {@link
- * gaugegw.proxy.http.StrictResponseDecoder}, {@code HttpObjectAggregator}, {@code IdleStateHandler}, {@link
+ * gaugegw.proxy.http.StrictResponseDecoder}, {@link gaugegw.proxy.upstream.ResponseAggregator}, {@code IdleStateHandler}, {@link
  * gaugegw.proxy.upstream.UpstreamConnectionHandler}. A connection carries at most one attempt at a time. While it
  * carries one, the handler owns the response that is being received; while it carries none, it is in the pool.
  *
