Close the memory account of a connection that was never established

Cause: an account was opened with a backend connection's channel and closed when the connection became inactive, which is not reported for a connect that has failed. Each failed connect left an account, with all that it refers to.

Change: the account closes with the channel. Pipelined requests that are rejected drop the incomplete one behind them at once.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -197,6 +197,7 @@
         if (!closing.hasFinalError()) {
             closing.deferFinalError(PlainTextResponse.tooManyRequests());
             pipelinedRequests.removeOneFromOverflow();
+            aggregator.dropInput();
         }
         while (pipelinedRequests.hasOverflow()) {
             channel.write(PlainTextResponse.tooManyRequests());
--- a/src/main/java/gaugegw/proxy/memory/MemoryLimiter.java
+++ b/src/main/java/gaugegw/proxy/memory/MemoryLimiter.java
@@ -69,6 +69,11 @@
         return new MemoryUse(heap.usedBytes(), direct.usedBytes());
     }
 
+    /** Returns the number of open accounts. */
+    public int accountCount() {
+        return accounts.size();
+    }
+
     void changed(MemoryAccount account, MemoryUse oldUse, MemoryUse newUse) {
         account.setChangedAtUs(clock.getAsLong());
         heap.add(newUse.heapBytes() - oldUse.heapBytes());
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
@@ -64,6 +64,8 @@
         this.aggregator = aggregator;
         this.stallDetector = new StallDetector(context.loop(), this);
         this.memory = context.memory().open(this);
+        // Unlike channelInactive, this is called even if the connection was never established.
+        channel.closeFuture().addListener(f -> memory.close());
     }
 
     Channel channel() {
@@ -197,7 +199,6 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         endpoint.pool().connectionClosed(this);
-        memory.close();
         stallDetector.stop();
         if (response != null) {
             response.release();
