Say when a request in flight is given up for lack of memory

Comments only: the class comment of MemoryLimiter said that it never is, but a client that does not read its earlier responses is closed with it. The comment of ClientConnection is wrapped.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -22,9 +22,9 @@
 /**
  * A client's connection: reads its requests, handles them one at a time in the order in which they arrive, and enforces
  * the time limits. Its {@link ClosingSequence} closes it after the last response; an idle or lingering connection that
- * exceeds a limit is closed directly. Reports the memory that its messages hold, and gives up requests that have not been
- * dispatched when all connections together hold too much. This is the first handler in the pipeline of its channel and adds the others.
- * Used on the event loop only.
+ * exceeds a limit is closed directly. Reports the memory that its messages hold, and gives up requests that have not
+ * been dispatched when all connections together hold too much. This is the first handler in the pipeline of its channel
+ * and adds the others. Used on the event loop only.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements MemoryHolder {
     /**
@@ -36,7 +36,6 @@
 
     private final ClientContext context;
     private final Channel channel;
-
     private final RequestAggregator aggregator;
     private final PipelinedRequests pipelinedRequests = new PipelinedRequests();
     private final RequestArrival arrival;
--- a/src/main/java/gaugegw/proxy/memory/MemoryLimiter.java
+++ b/src/main/java/gaugegw/proxy/memory/MemoryLimiter.java
@@ -15,8 +15,9 @@
  *
  * <p>When the budget is exceeded, connections give up messages, those first that have held the most memory for the
  * longest time without any progress. A request of usual size that arrives at usual speed is therefore served. What is
- * being executed by a backend is never given up; such requests are admitted only while {@link #canAdmit}. So the budget
- * is exceeded by no more than what a connection has received in one read.
+ * being executed by a backend is not given up, unless its client does not read the responses before; such requests are
+ * admitted only while {@link #canAdmit}. So the budget is exceeded by no more than what a connection has received in one
+ * read.
  *
  * <p>Used on the event loop only.
  */
