Log why a request stays unanswered, and count how requests and attempts end

The log could not tell the hypotheses apart: errors of reads and writes on a client's connection were dropped, as clients cause them when they disconnect. Now a request whose connection fails, or whose response can't be written, is logged with its id, its age and the error, unless the error says that the peer has disconnected. The counts of served, rejected, failed, abandoned and unanswered requests and of attempts by outcome are logged every 10 s and at the end of a drain.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -1,10 +1,7 @@
 package gaugegw.proxy.client;
 
 import gaugegw.proxy.http.StrictRequestDecoder;
-import gaugegw.proxy.memory.MemoryAccount;
-import gaugegw.proxy.memory.MemoryHolder;
 import gaugegw.proxy.memory.MemoryUse;
-import gaugegw.proxy.memory.ShedStage;
 import gaugegw.proxy.transport.PendingWrites;
 import gaugegw.proxy.transport.Transport;
 import io.netty.buffer.ByteBuf;
@@ -18,15 +15,15 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 
 /**
  * A client's connection: reads its requests, handles them one at a time in the order in which they arrive, and enforces
  * the time limits. Its {@link ClosingSequence} closes it after the last response; an idle or lingering connection that
- * exceeds a limit is closed directly. Reports the memory that its messages hold, and gives up requests that have not
- * been dispatched when all connections together hold too much. This is the first handler in the pipeline of its channel
- * and adds the others. Used on the event loop only.
+ * exceeds a limit is closed directly. This is the first handler in the pipeline of its channel and adds the others. Used
+ * on the event loop only.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements MemoryHolder {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
     /**
      * Minimum time between two reads of the channel, in microseconds: {@link #detectDisconnect} does not read a channel
      * that was read more recently. No attempt may begin 100 ms or more after the client's close was received; this
@@ -40,7 +37,7 @@
     private final PipelinedRequests pipelinedRequests = new PipelinedRequests();
     private final RequestArrival arrival;
     private final ClosingSequence closing;
-    private final MemoryAccount memory;
+    private final ClientConnectionMemory memory;
     /** The exchange whose response is written next; null if no request is being handled. */
     private ClientExchange exchange;
     /** When the channel was last read, on the proxy's clock. */
@@ -49,6 +46,8 @@
     private long idleSinceUs;
 
     private boolean hasResponded;
+    /** The last error on the connection; null if there was none. */
+    private Throwable failure;
 
     ClientConnection(ClientContext context, Channel channel) {
         this.context = context;
@@ -56,7 +55,7 @@
         this.aggregator = new RequestAggregator(this, channel.pipeline());
         this.arrival = new RequestArrival(context.delayEstimator());
         this.closing = new ClosingSequence(channel, context.clock(), context.limiter());
-        this.memory = context.memory().open(this);
+        this.memory = new ClientConnectionMemory(context, this, channel, aggregator, pipelinedRequests);
     }
 
     @Override
@@ -80,7 +79,7 @@
         }
         arrival.bytesRead();
         super.channelRead(ctx, message);
-        updateMemory();
+        memory.update();
     }
 
     private void countUnservedBytes(int bytes) {
@@ -142,6 +141,11 @@
 
     // Exchanges
 
+    /** Returns the exchange whose response is written next; null if no request is being handled. */
+    ClientExchange exchange() {
+        return exchange;
+    }
+
     boolean isCurrent(ClientExchange other) {
         return exchange == other;
     }
@@ -161,7 +165,9 @@
      */
     void finishExchange(FullHttpResponse response, boolean keepAlive) {
         assert channel.eventLoop().inEventLoop();
+        ClientExchange finished = exchange;
         ChannelFuture written = channel.writeAndFlush(response);
+        written.addListener(f -> recordWrite(finished, f));
         hasResponded = true;
         idleSinceUs = context.clock().nowUs();
         exchange = keepAlive ? pipelinedRequests.poll() : null;
@@ -178,8 +184,14 @@
             // Only once the response is written: an idle connection may be evicted, which would truncate the response.
             written.addListener(f -> markIdle());
         }
-        updateMemory();
-        written.addListener(f -> updateMemory());
+        memory.update();
+        written.addListener(f -> memory.update());
+    }
+
+    private void recordWrite(ClientExchange finished, Future<?> written) {
+        if (!written.isSuccess()) {
+            context.unanswered().responseNotWritten(channel, finished, written.cause());
+        }
     }
 
     private void markIdle() {
@@ -277,8 +289,15 @@
         super.channelInactive(ctx);
     }
 
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) throws Exception {
+        failure = cause;
+        super.exceptionCaught(ctx, cause);
+    }
+
     private void abandonExchange() {
         if (exchange != null) {
+            context.unanswered().connectionEnded(channel, exchange, failure);
             ClientExchange abandoned = exchange;
             exchange = null;
             abandoned.clientDisconnected();
@@ -338,51 +357,4 @@
                     HttpResponseStatus.REQUEST_TIMEOUT, "the request was not received completely in time"));
         }
     }
-
-    // Memory
-
-    /** Reports the memory that the messages of this connection hold; to be called after each change of it. */
-    private void updateMemory() {
-        MemoryUse inFlight = exchange != null && exchange.hasBegun() ? exchange.use() : MemoryUse.NONE;
-        memory.set(sheddable(ShedStage.WAITING_FOR_CLIENT).plus(inFlight));
-    }
-
-    @Override
-    public MemoryUse sheddable(ShedStage stage) {
-        if (stage != ShedStage.WAITING_FOR_CLIENT) {
-            return MemoryUse.NONE;
-        }
-        MemoryUse incomplete = aggregator.use().plus(new MemoryUse(0, PendingWrites.bytes(channel)));
-        MemoryUse undispatched = incomplete.plus(pipelinedRequests.use());
-        return exchange == null || exchange.hasBegun() ? undispatched : undispatched.plus(exchange.use());
-    }
-
-    /**
-     * Rejects the requests that have not been dispatched, or closes the connection if the client does not read its
-     * responses.
-     */
-    @Override
-    public void shed(ShedStage stage) {
-        if (PendingWrites.exist(channel)) {
-            channel.close();
-        } else {
-            rejectUndispatched(context.overloadRetryAfterUs());
-        }
-        updateMemory();
-    }
-
-    private void rejectUndispatched(long retryAfterUs) {
-        pipelinedRequests.moveWaitingToOverflow();
-        if (!aggregator.isEmpty()) {
-            rejectAndClose(PlainTextResponse.rejection(retryAfterUs));
-        }
-        if (exchange != null && !exchange.hasBegun()) {
-            exchange.sendRejection(retryAfterUs);
-        }
-    }
-
-    @Override
-    public String peer() {
-        return "client " + channel.remoteAddress();
-    }
 }
--- a/src/main/java/gaugegw/proxy/client/ClientContext.java
+++ b/src/main/java/gaugegw/proxy/client/ClientContext.java
@@ -2,6 +2,7 @@
 
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.logging.TrafficCounters;
 import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.transport.ConnectionLimiter;
@@ -11,6 +12,8 @@
  *
  * @param clock the proxy's clock, in microseconds
  * @param log the log for operators
+ * @param counters counts how requests end
+ * @param unanswered records the requests whose connection ends before they are answered
  * @param dispatcher receives the parsed requests
  * @param limiter counts the connections and evicts idle ones
  * @param memory limits the memory that unfinished messages hold
@@ -24,6 +27,8 @@
 record ClientContext(
         Clock clock,
         RateLimitedLog log,
+        TrafficCounters counters,
+        UnansweredRequests unanswered,
         RequestDispatcher dispatcher,
         ConnectionLimiter limiter,
         MemoryLimiter memory,
--- a/src/main/java/gaugegw/proxy/client/ClientExchange.java
+++ b/src/main/java/gaugegw/proxy/client/ClientExchange.java
@@ -3,6 +3,7 @@
 import gaugegw.proxy.dispatch.ClientRequest;
 import gaugegw.proxy.dispatch.ResponseSink;
 import gaugegw.proxy.http.ProtocolHeaders;
+import gaugegw.proxy.logging.TrafficEvent;
 import gaugegw.proxy.memory.MemoryUse;
 import gaugegw.proxy.upstream.UpstreamResponse;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -53,6 +54,16 @@
         return use;
     }
 
+    /** Returns the client's id for the request; null until the request has been dispatched. */
+    String requestId() {
+        return requestId;
+    }
+
+    /** Returns when the first byte of the request was received, on the proxy's clock. */
+    long firstByteAtUs() {
+        return firstByteAtUs;
+    }
+
     /** Returns whether the request may have been dispatched; if not, it can still be rejected. */
     boolean hasBegun() {
         return begun;
@@ -119,6 +130,7 @@
 
     @Override
     public void sendResponse(UpstreamResponse upstreamResponse) {
+        context.counters().count(TrafficEvent.REQUEST_SERVED);
         var response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, upstreamResponse.body());
         ProtocolHeaders.copyEndToEnd(upstreamResponse.headers(), response.headers());
@@ -128,11 +140,13 @@
 
     @Override
     public void sendRejection(long retryAfterUs) {
+        context.counters().count(TrafficEvent.REQUEST_REJECTED);
         respond(PlainTextResponse.rejection(retryAfterUs));
     }
 
     @Override
     public void sendFailure() {
+        context.counters().count(TrafficEvent.REQUEST_FAILED);
         respond(PlainTextResponse.of(HttpResponseStatus.BAD_GATEWAY, "failed; the request may have been executed"));
     }
 
--- a/src/main/java/gaugegw/proxy/client/Frontend.java
+++ b/src/main/java/gaugegw/proxy/client/Frontend.java
@@ -3,6 +3,7 @@
 import gaugegw.balancer.api.BalancerSettings;
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.logging.TrafficCounters;
 import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.transport.ConnectionLimiter;
@@ -40,6 +41,7 @@
     public Frontend(
             Clock clock,
             RateLimitedLog log,
+            TrafficCounters counters,
             RequestDispatcher dispatcher,
             ConnectionLimiter limiter,
             MemoryLimiter memory,
@@ -48,6 +50,8 @@
         context = new ClientContext(
                 clock,
                 log,
+                counters,
+                new UnansweredRequests(clock, log, counters),
                 dispatcher,
                 limiter,
                 memory,
--- a/src/main/java/gaugegw/proxy/dispatch/AttemptStarter.java
+++ b/src/main/java/gaugegw/proxy/dispatch/AttemptStarter.java
@@ -4,6 +4,8 @@
 import gaugegw.balancer.api.AttemptOutcome;
 import gaugegw.balancer.api.Event;
 import gaugegw.balancer.api.Limits;
+import gaugegw.proxy.logging.TrafficCounters;
+import gaugegw.proxy.logging.TrafficEvent;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.upstream.UpstreamAttempt;
 import gaugegw.proxy.upstream.UpstreamClient;
@@ -19,13 +21,21 @@
 final class AttemptStarter {
     private final Clock clock;
     private final Limits limits;
+    private final TrafficCounters counters;
     private final EventQueue events;
     private final RequestTable requests;
     private final UpstreamClient upstream;
 
-    AttemptStarter(Clock clock, Limits limits, EventQueue events, RequestTable requests, UpstreamClient upstream) {
+    AttemptStarter(
+            Clock clock,
+            Limits limits,
+            TrafficCounters counters,
+            EventQueue events,
+            RequestTable requests,
+            UpstreamClient upstream) {
         this.clock = clock;
         this.limits = limits;
+        this.counters = counters;
         this.events = events;
         this.requests = requests;
         this.upstream = upstream;
@@ -46,6 +56,7 @@
         if (attempt.isPresent()) {
             attempt.get().start();
         } else {
+            counters.count(counterOf(AttemptOutcome.NOT_SENT));
             events.deliver(new Event.AttemptEnded(
                     request.id(), number, action.endpointId(), AttemptOutcome.NOT_SENT, 0, !request.isOpen()));
         }
@@ -112,6 +123,7 @@
             AttemptOutcome outcome,
             long latencyUs,
             UpstreamResponse response) {
+        counters.count(counterOf(outcome));
         request.attemptEnded();
         if (outcome == AttemptOutcome.SUCCESS && request.isOpen()) {
             requests.respond(request, sink -> sink.sendResponse(response));
@@ -121,4 +133,17 @@
         events.deliver(new Event.AttemptEnded(request.id(), number, endpointId, outcome, latencyUs, !request.isOpen()));
         requests.removeIfComplete(request);
     }
+
+    private static TrafficEvent counterOf(AttemptOutcome outcome) {
+        return switch (outcome) {
+            case SUCCESS -> TrafficEvent.ATTEMPT_SUCCEEDED;
+            case ERROR -> TrafficEvent.ATTEMPT_ERROR;
+            case REJECTED -> TrafficEvent.ATTEMPT_REJECTED;
+            case TIMEOUT -> TrafficEvent.ATTEMPT_TIMED_OUT;
+            case CONNECT_FAILED -> TrafficEvent.ATTEMPT_CONNECT_FAILED;
+            case RESET -> TrafficEvent.ATTEMPT_RESET;
+            case CANCELLED -> TrafficEvent.ATTEMPT_CANCELLED;
+            case NOT_SENT -> TrafficEvent.ATTEMPT_NOT_SENT;
+        };
+    }
 }
--- a/src/main/java/gaugegw/proxy/dispatch/RequestDispatcher.java
+++ b/src/main/java/gaugegw/proxy/dispatch/RequestDispatcher.java
@@ -10,6 +10,7 @@
 import gaugegw.proxy.discovery.EndpointWatcher;
 import gaugegw.proxy.discovery.ListedEndpoint;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.logging.TrafficCounters;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.upstream.UpstreamAttempt;
 import gaugegw.proxy.upstream.UpstreamClient;
@@ -39,6 +40,7 @@
             Clock clock,
             EventLoop loop,
             RateLimitedLog log,
+            TrafficCounters counters,
             BalancerSettings settings,
             LoadBalancer loadBalancer,
             UpstreamClient upstream) {
@@ -47,7 +49,7 @@
         this.upstream = upstream;
         requests = new RequestTable(log);
         events = new EventQueue(clock, loop, log, loadBalancer, this::execute, this::loadBalancerFailed);
-        var attempts = new AttemptStarter(clock, settings.limits(), events, requests, upstream);
+        var attempts = new AttemptStarter(clock, settings.limits(), counters, events, requests, upstream);
         actions = new ActionExecutor(clock, loop, log, events, requests, attempts, upstream);
         overdueTimer = new OverdueTimer(loop, this::failIfOpen);
     }
--- a/src/main/java/gaugegw/proxy/lifecycle/GracefulShutdown.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/GracefulShutdown.java
@@ -36,17 +36,29 @@
     private final ProxyConfig config;
     private final Frontend frontend;
     private final RequestDispatcher dispatcher;
+    private final Runnable logCounters;
     private final CountDownLatch clientsDisconnected = new CountDownLatch(1);
     /** Written by the thread that drains the proxy, read by the thread that starts it. */
     private volatile boolean begun;
 
+    /**
+     * Creates a shutdown that has not begun.
+     *
+     * @param logCounters called on the event loop at the end of the drain
+     */
     GracefulShutdown(
-            EventLoop loop, RateLimitedLog log, ProxyConfig config, Frontend frontend, RequestDispatcher dispatcher) {
+            EventLoop loop,
+            RateLimitedLog log,
+            ProxyConfig config,
+            Frontend frontend,
+            RequestDispatcher dispatcher,
+            Runnable logCounters) {
         this.loop = loop;
         this.log = log;
         this.config = config;
         this.frontend = frontend;
         this.dispatcher = dispatcher;
+        this.logCounters = logCounters;
     }
 
     /**
@@ -99,13 +111,17 @@
     private void awaitDisconnects(long timeoutMs) {
         try {
             boolean allDisconnected = clientsDisconnected.await(timeoutMs, TimeUnit.MILLISECONDS);
-            loop.submit(() -> log.write(config.name()
-                            + (allDisconnected
-                                    ? ": drained, all clients have disconnected"
-                                    : ": drain timed out with clients still connected, exiting")))
-                    .awaitUninterruptibly(LAST_LOG_LINE_TIMEOUT_MS);
+            loop.submit(() -> logEnd(allDisconnected)).awaitUninterruptibly(LAST_LOG_LINE_TIMEOUT_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    private void logEnd(boolean allDisconnected) {
+        logCounters.run();
+        log.write(config.name()
+                + (allDisconnected
+                        ? ": drained, all clients have disconnected"
+                        : ": drain timed out with clients still connected, exiting"));
+    }
 }
--- a/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
@@ -8,10 +8,12 @@
 import gaugegw.proxy.discovery.EndpointWatcher;
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.logging.TrafficCounters;
 import gaugegw.proxy.memory.MemoryBudget;
 import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
 import gaugegw.proxy.transport.ConnectionLimiter;
+import gaugegw.proxy.transport.PeriodicTask;
 import gaugegw.proxy.transport.Transport;
 import gaugegw.proxy.upstream.UpstreamClient;
 import io.netty.channel.ChannelFuture;
@@ -27,9 +29,13 @@
  * run a task. The proxy owns the event loop of its transport and ends it in {@link #stop}.
  */
 public final class ProxyServer {
+    /** Interval at which the counts of requests and attempts are logged, in microseconds. */
+    private static final long COUNTERS_LOG_INTERVAL_US = 10_000_000;
+
     private final ProxyConfig config;
     private final Transport transport;
     private final RateLimitedLog log = new RateLimitedLog();
+    private final TrafficCounters counters = new TrafficCounters();
     private final EventLoop loop;
     private final RequestDispatcher dispatcher;
     private final EndpointWatcher endpointWatcher;
@@ -63,18 +69,19 @@
         var memory = new MemoryLimiter(clock::nowUs, log, MemoryBudget.ofRuntime(config.memoryLimitBytes()));
         var upstreams = new UpstreamClient(
                 clock, transport, limiter, memory, config.backendIdleTimeoutUs(), config.connectTimeoutUs());
-        dispatcher = new RequestDispatcher(clock, loop, log, settings, loadBalancer, upstreams);
+        dispatcher = new RequestDispatcher(clock, loop, log, counters, settings, loadBalancer, upstreams);
         endpointWatcher = new EndpointWatcher(transport, log, dispatcher, config.discoveryAddress(), settings);
         dispatcher.setEndpointWatcher(endpointWatcher);
         frontend = new Frontend(
                 clock,
                 log,
+                counters,
                 dispatcher,
                 limiter,
                 memory,
                 settings,
                 () -> endpointWatcher.firstCallFuture().isDone() && upstreams.hasReadyEndpoint());
-        shutdown = new GracefulShutdown(loop, log, config, frontend, dispatcher);
+        shutdown = new GracefulShutdown(loop, log, config, frontend, dispatcher, this::logCounters);
     }
 
     /**
@@ -118,6 +125,7 @@
      */
     ChannelFuture listen() {
         loop.execute(() -> endpointWatcher.loadCachedEndpoints(config.cachedEndpoints()));
+        PeriodicTask.start(loop, COUNTERS_LOG_INTERVAL_US, this::logCounters, this::countersNotLogged);
         if (endpointWatcher.hasLocalAgent()) {
             // A proxy must comply with a pushed update from its first request on, so it accepts no client before the
             // agent has sent the current list, or the call to it has failed.
@@ -154,6 +162,14 @@
                 config.name() + ": can't use the new configuration, keeping the current one: " + reason.getMessage()));
     }
 
+    private void logCounters() {
+        counters.logAndReset(log, config.name() + ": since the last such line:");
+    }
+
+    private void countersNotLogged(Throwable failure) {
+        log.writeException(config.name() + ": could not log the counts of requests, trying again", failure);
+    }
+
     /** Logs a line that begins with the proxy's name. */
     void logWithName(String text) {
         loop.execute(() -> log.write(config.name() + ": " + text));
