Make a socket call that failed again instead of ending the connection

What callers saw: their connection ended with no complete answer to a request that the proxy had taken, some hundred milliseconds after it was sent.

Cause: an error that concerns one system call was handled as the end of the connection. Netty closes the channel after any IOException of a read or write, takes an interrupted read (-3 from the Java runtime) for the end of the peer's output, and stops accepting for a second after a failed accept.

Change: the channels of the socket transport make the call again, after 1 ms and then up to 20 ms. A connection ends when an error says that the peer has disconnected, or when calls have failed for 3.5 s, the longest deadline and the 0.5 s in which a late response still counts. An error followed by the end of the stream stays an error, so that a reset is not taken for the end of a response without a length. An interrupted connect is finished, and an interrupted probe of an idle connection is made again.

--- a/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
@@ -65,6 +65,7 @@
         loop = transport.loop();
         var clock = new Clock();
         var settings = config.settings();
+        transport.setSocketFailureListener(new SocketFailureLog(clock, log, counters));
         var limiter = new ConnectionLimiter(loop, config.descriptorLimit());
         var memory = new MemoryLimiter(clock::nowUs, log, MemoryBudget.ofRuntime(config.memoryLimitBytes()));
         var upstreams = new UpstreamClient(
--- a/src/main/java/gaugegw/proxy/logging/TrafficEvent.java
+++ b/src/main/java/gaugegw/proxy/logging/TrafficEvent.java
@@ -16,6 +16,8 @@
     REQUEST_UNANSWERED,
     /** A response was passed to a connection that ended before all of it was written. */
     RESPONSE_NOT_WRITTEN,
+    /** A system call on a socket failed and was made again. */
+    SOCKET_CALL_FAILED,
     /** An attempt received a successful response. */
     ATTEMPT_SUCCEEDED,
     /** An attempt was rejected by the backend before it was executed. */
--- a/src/main/java/gaugegw/proxy/transport/SocketTransport.java
+++ b/src/main/java/gaugegw/proxy/transport/SocketTransport.java
@@ -10,8 +10,6 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -38,14 +36,16 @@
     private final EventLoop loop;
     private final ServerBootstrap server;
     private final Bootstrap client;
+    /** Null until {@link #setSocketFailureListener} is called. */
+    private SocketFailureListener failureListener;
     /** Receives the byte that {@link #hasNothingToRead} may read; its content is ignored. */
     private final ByteBuffer probeBuffer = ByteBuffer.allocateDirect(1);
 
     SocketTransport() {
         preloadLogFormatting();
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        server = newServerBootstrap(loop);
-        client = new Bootstrap().group(loop).channel(NioSocketChannel.class);
+        server = newServerBootstrap(loop).channelFactory(() -> new RetryingServerSocketChannel(this::callFailed));
+        client = new Bootstrap().group(loop).channelFactory(() -> new RetryingSocketChannel(this::callFailed));
     }
 
     /**
@@ -60,7 +60,6 @@
     private static ServerBootstrap newServerBootstrap(EventLoop loop) {
         return new ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel.class)
                 // If only one connection were accepted per iteration, clients would time out in the backlog while the
                 // event loop is busy.
                 .option(
@@ -102,12 +101,26 @@
     public boolean hasNothingToRead(Channel channel) {
         assert loop.inEventLoop();
         try {
-            return socket(channel).read(probeBuffer.clear()) == 0;
+            int bytes = socket(channel).read(probeBuffer.clear());
+            // Below -1: the read was interrupted. A second one tells; if it is interrupted too, nothing is known.
+            return (bytes < -1 ? socket(channel).read(probeBuffer.clear()) : bytes) == 0;
         } catch (IOException e) {
             return false;
         }
     }
 
+    @Override
+    public void setSocketFailureListener(SocketFailureListener listener) {
+        failureListener = listener;
+    }
+
+    private void callFailed(String call, Channel channel, IOException failure) {
+        assert loop.inEventLoop();
+        if (failureListener != null) {
+            failureListener.callFailed(call, channel, failure);
+        }
+    }
+
     /** Returns the socket of a channel, to be read directly: a read by Netty would call the channel's handlers. */
     private static SocketChannel socket(Channel channel) {
         return (SocketChannel) ((AbstractNioChannel.NioUnsafe) channel.unsafe()).ch();
--- a/src/main/java/gaugegw/proxy/transport/Transport.java
+++ b/src/main/java/gaugegw/proxy/transport/Transport.java
@@ -36,6 +36,12 @@
         }
     }
 
+    /**
+     * Sets who is notified of system calls that have failed and will be made again. To be called before the first
+     * connection is made or accepted. Has no effect on a transport that makes no system calls.
+     */
+    default void setSocketFailureListener(SocketFailureListener listener) {}
+
     /** Returns the event loop that all connections of this transport share. */
     EventLoop loop();
 
