Connect again when a connect fails for lack of something on this machine

What callers saw: rejections, as a connect that failed with EADDRNOTAVAIL, or a socket that could not be opened (EMFILE, ENFILE), counted against the endpoint, which then got nothing for its backoff; and with accepts that failed several times in a row (ENFILE, EMFILE, ENOBUFS), no answer for over 0.5 s after the deadline, as Netty accepts nothing for a second after a failure.

Change: an attempt connects again up to five times after such a failure, and then ends as not sent, which says nothing about the endpoint.

--- a/src/main/java/gaugegw/proxy/transport/RetryingServerSocketChannel.java
+++ b/src/main/java/gaugegw/proxy/transport/RetryingServerSocketChannel.java
@@ -10,6 +10,12 @@
  * second, longer than the clients in the backlog wait for their responses. Used on the event loop only.
  */
 final class RetryingServerSocketChannel extends NioServerSocketChannel {
+    /**
+     * The number of failures in a row after which accepting pauses. Each pause lets the clients in the backlog wait,
+     * whose timeouts the proxy counts only from when it has read their requests.
+     */
+    private static final int MAX_FAILURES_WITHOUT_PAUSE = 8;
+
     private final SocketFailureListener listener;
     private final SocketCallRetry accepts;
 
@@ -20,16 +26,7 @@
 
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
-        SocketChannel socket;
-        try {
-            socket = javaChannel().accept();
-        } catch (IOException e) {
-            // No further accept event, which would come at once, until the delay has passed.
-            clearReadPending();
-            accepts.failed(e, this::resumeAccepting);
-            return 0;
-        }
-        accepts.succeeded();
+        SocketChannel socket = acceptOrPause();
         if (socket == null) {
             return 0;
         }
@@ -37,6 +34,26 @@
         return 1;
     }
 
+    /** Returns the next connection; null if there is none, or if accepts have failed and pause now. */
+    private SocketChannel acceptOrPause() {
+        for (int failures = 1; ; failures++) {
+            try {
+                SocketChannel socket = javaChannel().accept();
+                accepts.succeeded();
+                return socket;
+            } catch (IOException e) {
+                if (failures < MAX_FAILURES_WITHOUT_PAUSE) {
+                    listener.callFailed("accept", this, e);
+                } else {
+                    // No further accept event, which would come at once, until the delay has passed.
+                    clearReadPending();
+                    accepts.failed(e, this::resumeAccepting);
+                    return null;
+                }
+            }
+        }
+    }
+
     /** Accepts again, unless {@link ConnectionLimiter} has meanwhile paused that. */
     private void resumeAccepting() {
         if (config().isAutoRead()) {
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamAttempt.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamAttempt.java
@@ -3,6 +3,8 @@
 import gaugegw.balancer.api.AttemptOutcome;
 import gaugegw.proxy.http.ProtocolHeaders;
 import gaugegw.proxy.transport.Clock;
+import gaugegw.proxy.transport.ConnectionLimiter;
+import gaugegw.proxy.transport.SocketErrors;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -19,6 +21,14 @@
  * once, and then reports its outcome to its {@link AttemptListener}. Used on the event loop only.
  */
 public final class UpstreamAttempt {
+    /**
+     * How often a connect that failed for lack of something on this machine is made again. The delays between these
+     * connects begin with {@link #FIRST_RECONNECT_DELAY_MS} and double.
+     */
+    private static final int MAX_RECONNECTS = 5;
+
+    private static final long FIRST_RECONNECT_DELAY_MS = 1;
+
     private enum State {
         /** The attempt has not been started. */
         CREATED,
@@ -34,6 +44,7 @@
 
     private final Clock clock;
     private final EventLoop loop;
+    private final ConnectionLimiter limiter;
     private final UpstreamEndpoint endpoint;
     private final UpstreamRequest request;
     private final long timeoutUs;
@@ -47,6 +58,7 @@
     private boolean requestWritten;
 
     private long startedAtUs;
+    private int reconnects;
     private Future<?> timeoutTimer;
     /** The connect in progress for this attempt; null if there is none, as with a pooled connection. */
     private ChannelFuture connecting;
@@ -62,6 +74,7 @@
             AttemptListener listener) {
         this.clock = context.clock();
         this.loop = context.loop();
+        this.limiter = context.limiter();
         this.endpoint = endpoint;
         this.request = request;
         this.timeoutUs = timeoutUs;
@@ -76,6 +89,10 @@
         startedAtUs = clock.nowUs();
         endpoint.attemptStarted(this);
         timeoutTimer = loop.schedule(this::timeOut, timeoutUs, TimeUnit.MICROSECONDS);
+        acquire();
+    }
+
+    private void acquire() {
         Promise<Channel> acquired = loop.newPromise();
         connecting = endpoint.pool().acquireOrConnect(acquired);
         acquired.addListener((Future<Channel> f) -> acquireCompleted(f));
@@ -135,7 +152,7 @@
             beforeWrite.run();
         }
         if (!acquired.isSuccess()) {
-            complete(AttemptOutcome.CONNECT_FAILED, null);
+            acquireFailed(acquired.cause());
         } else if (isEnded()) {
             acquired.getNow().close();
         } else {
@@ -145,6 +162,29 @@
         }
     }
 
+    /** Connects again if the endpoint is not to blame for the failure; otherwise ends the attempt. */
+    private void acquireFailed(Throwable failure) {
+        if (!SocketErrors.isLocalShortage(failure)) {
+            complete(AttemptOutcome.CONNECT_FAILED, null);
+        } else if (reconnects == MAX_RECONNECTS) {
+            complete(AttemptOutcome.NOT_SENT, null);
+        } else {
+            loop.schedule(this::reconnect, FIRST_RECONNECT_DELAY_MS << reconnects, TimeUnit.MILLISECONDS);
+            reconnects++;
+        }
+    }
+
+    private void reconnect() {
+        if (isEnded()) {
+            return;
+        }
+        if (endpoint.pool().reserveIdle() || limiter.makeRoomForBackend()) {
+            acquire();
+        } else {
+            complete(AttemptOutcome.NOT_SENT, null);
+        }
+    }
+
     /**
      * Writes the request. If that throws an exception, the request was not sent; the exception must not propagate, as
      * that would affect other attempts on the event loop.
--- a/src/test/java/gaugegw/proxy/testing/ProxyProcess.java
+++ b/src/test/java/gaugegw/proxy/testing/ProxyProcess.java
@@ -86,6 +86,16 @@
         return Integer.parseInt(line.replaceAll(".*" + LISTENING + "(\\d+).*", "$1"));
     }
 
+    /** Returns the lines of the log so far. */
+    public List<String> log() {
+        return List.copyOf(log);
+    }
+
+    /** Returns whether the process runs. */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
     /** Returns the number of descriptors that the process has open. */
     public int openDescriptors() {
         String[] open = new File("/proc/" + process.pid() + "/fd").list();
--- a/src/test/java/gaugegw/proxy/testing/RawConnection.java
+++ b/src/test/java/gaugegw/proxy/testing/RawConnection.java
@@ -40,6 +40,16 @@
         return new RawConnection(new Socket(InetAddress.getLoopbackAddress(), port));
     }
 
+    /** Returns whether the proxy on a port of the loopback address answers that it is ready. */
+    public static boolean isReady(int port) {
+        try (RawConnection client = connectTo(port)) {
+            Message response = client.send("GET /ready HTTP/1.1\r\n\r\n").read();
+            return response != null && response.status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Sends a text, encoded as one byte per character. */
     public RawConnection send(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
--- a/src/test/java/gaugegw/proxy/testing/ScriptedServer.java
+++ b/src/test/java/gaugegw/proxy/testing/ScriptedServer.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -64,6 +65,25 @@
         return received;
     }
 
+    /** What a server does with a connection, on a thread of its own. */
+    public interface ConnectionHandler {
+        void handle(RawConnection connection) throws IOException;
+    }
+
+    /** Accepts all connections until the server is closed, on a background thread, and has each handled on another. */
+    public void acceptAll(ConnectionHandler handler) {
+        runInBackground(() -> {
+            while (!server.isClosed()) {
+                try {
+                    RawConnection connection = accept();
+                    runInBackground(() -> handler.handle(connection));
+                } catch (SocketTimeoutException e) {
+                    // No connection came within the timeout; wait for the next one.
+                }
+            }
+        });
+    }
+
     /** Returns the text of a response with status 200. */
     public static String ok(String body) {
         return response("200 OK", body);
--- a/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
+++ b/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
@@ -7,6 +7,7 @@
 import gaugegw.proxy.testing.ProxyProcess;
 import gaugegw.proxy.testing.RawConnection;
 import gaugegw.proxy.testing.ScriptedServer;
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -18,6 +19,10 @@
 /** System calls on sockets that fail for a moment must not end a connection or the request on it. */
 class FailingSocketCallTest {
     private static final int REQUESTS = 40;
+    private static final int LONG_DEADLINE_MS = 60_000;
+    private static final int DEADLINE_MS = 300;
+    /** A response that comes later than this after the deadline is lost. */
+    private static final int LATE_RESPONSE_MS = 500;
 
     /** Guards against a connection that ends without a complete response because a call on its socket fails once. */
     @ParameterizedTest
@@ -55,49 +60,79 @@
         assertThatEveryRequestIsServed(rules, folder);
     }
 
-    private static void assertThatEveryRequestIsServed(String rules, Path folder) throws Exception {
-        var failures = new FailingSocketCalls(folder, rules);
-        try (var backend = new ScriptedServer();
-                var discovery = new ScriptedServer();
-                var proxy = start(folder, discovery, failures)) {
-            backend.respondToAll(ScriptedServer.ok("served"));
-            discovery.respondToAll(ScriptedServer.ok(ProxyFixture.endpointListJson(
-                    42, true, ProxyFixture.endpointJson("s0", backend.address(), "ready"))));
-            int port = proxy.awaitPort();
-            ScriptedServer.await(() -> isReady(port));
-            failures.enable(true);
-            try (RawConnection kept = RawConnection.connectTo(port)) {
-                for (int i = 0; i < REQUESTS; i++) {
-                    assertThat(status(kept, "kept" + i)).isEqualTo(200);
-                    try (RawConnection unused = RawConnection.connectTo(port)) {
-                        assertThat(status(unused, "unused" + i)).isEqualTo(200);
-                    }
+    /** Guards against requests that are rejected, and endpoints in backoff, when a connect fails on this machine. */
+    @ParameterizedTest
+    @Timeout(60)
+    @ValueSource(strings = {"connect:EADDRNOTAVAIL:2", "connect:EADDRNOTAVAIL:4:3", "socket:ENFILE:2", "poll:EINTR:2"})
+    void everyRequestIsServedDespiteFailedConnects(String rules, @TempDir Path folder) throws Exception {
+        String closing = ScriptedServer.response("200 OK", "served", "Connection: close");
+        assertThatEveryRequestIsServed(rules, folder, closing);
+    }
+
+    /** Guards against requests that wait in the backlog past their deadline after an accept has failed. */
+    @ParameterizedTest
+    @Timeout(60)
+    @ValueSource(strings = {"accept:ENFILE:2", "accept:EMFILE:3:2", "accept:ENOBUFS:4:6", "accept:ENOMEM:2"})
+    void newConnectionIsServedInTimeDespiteFailedAccepts(String rules, @TempDir Path folder) throws Exception {
+        try (var servers = new Servers(folder, rules, ScriptedServer.ok("served"))) {
+            for (int i = 0; i < REQUESTS; i++) {
+                try (RawConnection client = RawConnection.connectTo(servers.port)) {
+                    client.socket.setSoTimeout(DEADLINE_MS + LATE_RESPONSE_MS);
+                    assertThat(status(client, "new" + i, DEADLINE_MS)).isEqualTo(200);
                 }
             }
         }
     }
 
-    private static ProxyProcess start(Path folder, ScriptedServer discovery, FailingSocketCalls failures)
-            throws IOException, InterruptedException {
-        String config = ProxyFixture.LONG_TIMEOUTS.apply(ProxyFixture.configText(discovery.address()));
-        return ProxyProcess.start(Files.writeString(folder.resolve("config.json"), config), failures.shellPrefix());
+    private static void assertThatEveryRequestIsServed(String rules, Path folder) throws Exception {
+        assertThatEveryRequestIsServed(rules, folder, ScriptedServer.ok("served"));
     }
 
-    private static boolean isReady(int port) {
-        try (RawConnection client = RawConnection.connectTo(port)) {
-            RawConnection.Message response =
-                    client.send("GET /ready HTTP/1.1\r\n\r\n").read();
-            return response != null && response.status() == 200;
-        } catch (IOException e) {
-            return false;
+    private static void assertThatEveryRequestIsServed(String rules, Path folder, String response) throws Exception {
+        try (var servers = new Servers(folder, rules, response);
+                RawConnection kept = RawConnection.connectTo(servers.port)) {
+            for (int i = 0; i < REQUESTS; i++) {
+                assertThat(status(kept, "kept" + i, LONG_DEADLINE_MS)).isEqualTo(200);
+                try (RawConnection unused = RawConnection.connectTo(servers.port)) {
+                    assertThat(status(unused, "unused" + i, LONG_DEADLINE_MS)).isEqualTo(200);
+                }
+            }
         }
     }
 
     /** Sends a request that must not be executed twice; returns the status, or 0 if the connection ends without one. */
-    private static int status(RawConnection client, String id) throws IOException {
+    private static int status(RawConnection client, String id, int deadlineMs) throws IOException {
         RawConnection.Message response = client.send(
-                        ProxyFixture.post(id, "body").replace("pay", "vote").replace("1900m", "60000m"))
+                        ProxyFixture.post(id, "body").replace("pay", "vote").replace("1900m", deadlineMs + "m"))
                 .read();
         return response == null ? 0 : response.status();
     }
+
+    /** A proxy that is ready and whose calls fail from now on, with its backend and discovery. */
+    private static final class Servers implements Closeable {
+        private final ScriptedServer backend = new ScriptedServer();
+        private final ScriptedServer discovery = new ScriptedServer();
+        private final ProxyProcess proxy;
+        private final int port;
+
+        Servers(Path folder, String rules, String response) throws IOException, InterruptedException {
+            var failures = new FailingSocketCalls(folder, rules);
+            String config = ProxyFixture.LONG_TIMEOUTS.apply(ProxyFixture.configText(discovery.address()));
+            proxy = ProxyProcess.start(
+                    Files.writeString(folder.resolve("config.json"), config), failures.shellPrefix());
+            backend.respondToAll(response);
+            discovery.respondToAll(ScriptedServer.ok(ProxyFixture.endpointListJson(
+                    42, true, ProxyFixture.endpointJson("s0", backend.address(), "ready"))));
+            port = proxy.awaitPort();
+            ScriptedServer.await(() -> RawConnection.isReady(port));
+            failures.enable(true);
+        }
+
+        @Override
+        public void close() throws IOException {
+            proxy.close();
+            backend.close();
+            discovery.close();
+        }
+    }
 }
