Do not execute a request again because its id comes again

Cause: an id was known only while its request was open or had an attempt in flight. After that the same id was a new request.

One that comes again gets 409, as one does whose request is still in flight.

--- a/src/main/java/gaugegw/proxy/client/ClientRequestParser.java
+++ b/src/main/java/gaugegw/proxy/client/ClientRequestParser.java
@@ -39,17 +39,17 @@
 
     private final Map<String, Idempotency> idempotencyByClass = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
-    private final Predicate<String> isInFlight;
+    private final Predicate<String> isIdInUse;
 
     /**
      * Creates a parser.
      *
-     * @param isInFlight returns whether a request with a given id is in flight
+     * @param isIdInUse returns whether a request with a given id is in flight or must not be executed again
      */
-    ClientRequestParser(BalancerSettings settings, Predicate<String> isInFlight) {
+    ClientRequestParser(BalancerSettings settings, Predicate<String> isIdInUse) {
         settings.requestClasses().forEach(c -> idempotencyByClass.put(c.name(), c.idempotency()));
         settings.tenants().forEach(t -> tenants.add(t.name()));
-        this.isInFlight = isInFlight;
+        this.isIdInUse = isIdInUse;
     }
 
     /**
@@ -69,9 +69,9 @@
         checkRequestClass(request, requestClass);
         String tenant = tenant(headers);
         String requestId = requireHeader(headers, ProtocolHeaders.REQUEST_ID);
-        if (isInFlight.test(requestId)) {
+        if (isIdInUse.test(requestId)) {
             throw new InvalidRequestException(
-                    HttpResponseStatus.CONFLICT, "a request with this id is already in flight");
+                    HttpResponseStatus.CONFLICT, "a request with this id is in flight or may have been executed");
         }
         List<String> keys = uri.parameters().get(AFFINITY_KEY_PARAMETER);
         long timeoutUs = timeoutUs(requireHeader(headers, ProtocolHeaders.TIMEOUT));
--- a/src/main/java/gaugegw/proxy/client/Frontend.java
+++ b/src/main/java/gaugegw/proxy/client/Frontend.java
@@ -56,7 +56,7 @@
                 limiter,
                 memory,
                 Math.min(OVERLOAD_RETRY_AFTER_US, settings.limits().maxRetryAfterUs()),
-                new ClientRequestParser(settings, dispatcher::isServing),
+                new ClientRequestParser(settings, dispatcher::isIdInUse),
                 new EventLoopDelayEstimator(clock),
                 new ClientConnectionRegistry(),
                 new DrainState(canServe));
--- a/src/main/java/gaugegw/proxy/dispatch/AttemptStarter.java
+++ b/src/main/java/gaugegw/proxy/dispatch/AttemptStarter.java
@@ -22,6 +22,7 @@
     private final Clock clock;
     private final Limits limits;
     private final TrafficCounters counters;
+    private final ExecutedRequestIds executedIds;
     private final EventQueue events;
     private final RequestTable requests;
     private final UpstreamClient upstream;
@@ -30,12 +31,14 @@
             Clock clock,
             Limits limits,
             TrafficCounters counters,
+            ExecutedRequestIds executedIds,
             EventQueue events,
             RequestTable requests,
             UpstreamClient upstream) {
         this.clock = clock;
         this.limits = limits;
         this.counters = counters;
+        this.executedIds = executedIds;
         this.events = events;
         this.requests = requests;
         this.upstream = upstream;
@@ -124,6 +127,7 @@
             long latencyUs,
             UpstreamResponse response) {
         counters.count(counterOf(outcome));
+        executedIds.attemptEnded(request, outcome);
         request.attemptEnded();
         if (outcome == AttemptOutcome.SUCCESS && request.isOpen()) {
             requests.respond(request, sink -> sink.sendResponse(response));
--- a/src/main/java/gaugegw/proxy/dispatch/DispatchedRequest.java
+++ b/src/main/java/gaugegw/proxy/dispatch/DispatchedRequest.java
@@ -41,6 +41,10 @@
         return clientRequest.id();
     }
 
+    String requestClass() {
+        return clientRequest.requestClass();
+    }
+
     /** Returns the latest time at which a response is of use to the client, on the proxy's clock, in microseconds. */
     long deadlineAtUs() {
         return clientRequest.deadlineAtUs();
--- a/src/main/java/gaugegw/proxy/dispatch/RequestDispatcher.java
+++ b/src/main/java/gaugegw/proxy/dispatch/RequestDispatcher.java
@@ -30,6 +30,7 @@
     private final EventLoop loop;
     private final UpstreamClient upstream;
     private final RequestTable requests;
+    private final ExecutedRequestIds executedIds;
     private final EventQueue events;
     private final ActionExecutor actions;
     private final OverdueTimer overdueTimer;
@@ -48,8 +49,9 @@
         this.loop = loop;
         this.upstream = upstream;
         requests = new RequestTable(log);
+        executedIds = new ExecutedRequestIds(settings);
         events = new EventQueue(clock, loop, log, loadBalancer, this::execute, this::loadBalancerFailed);
-        var attempts = new AttemptStarter(clock, settings.limits(), counters, events, requests, upstream);
+        var attempts = new AttemptStarter(clock, settings.limits(), counters, executedIds, events, requests, upstream);
         actions = new ActionExecutor(clock, loop, log, events, requests, attempts, upstream);
         overdueTimer = new OverdueTimer(loop, this::failIfOpen);
     }
@@ -70,10 +72,13 @@
         return requests.size();
     }
 
-    /** Returns whether the request with a given id is open or has an attempt in flight. */
-    public boolean isServing(String id) {
+    /**
+     * Returns whether the id is that of a request that is open or has an attempt in flight, or that a backend may have
+     * executed and must not execute again.
+     */
+    public boolean isIdInUse(String id) {
         assert loop.inEventLoop();
-        return requests.contains(id);
+        return requests.contains(id) || executedIds.contains(id);
     }
 
     /** Accepts a request. The sink is called before this returns or later, unless the client disconnects first. */
