Evict no client that sends requests for one that has not sent any

Cause: while all clients without a request were too new to be evicted, an idle client was evicted in their place; and they counted towards the limit from which on responses close their connections.

Change: an idle client is evicted only when no client is without a request, and the latter do not count towards that limit.

--- a/src/main/java/gaugegw/proxy/transport/ConnectionLimiter.java
+++ b/src/main/java/gaugegw/proxy/transport/ConnectionLimiter.java
@@ -85,10 +85,11 @@
     /**
      * Returns whether client connections should be closed after their next response, because there are almost too many.
      * A response announces that close, so the client sends no further request on the connection. An eviction is not
-     * announced, and may close a connection on which a request is on the way.
+     * announced, and may close a connection on which a request is on the way. Connections without a request do not
+     * count: they can be evicted instead.
      */
     public boolean isNearClientLimit() {
-        return clients > budget.maxClients() * NEAR_CLIENT_LIMIT_PERCENT / 100;
+        return clients - newClients.size() > budget.maxClients() * NEAR_CLIENT_LIMIT_PERCENT / 100;
     }
 
     /** Returns whether a backend connection may be opened; evicts another connection if that is necessary. */
@@ -98,7 +99,8 @@
         return heldDescriptors() < budget.hardConnectionLimit()
                 && (Math.min(clients, budget.maxClients()) + backends < budget.softConnectionLimit()
                         || idleBackends.evictOldest()
-                        || evictClient());
+                        || newClients.evictOldest()
+                        || idleClients.evictOldest());
     }
 
     /** Counts a backend connection, which is about to connect, until it is closed and its descriptor is released. */
@@ -194,7 +196,11 @@
         return (!tooManyClients && idleBackends.evictOldest()) || evictClient();
     }
 
+    /**
+     * Evicts a client that has not sent a request, and only if there is none one that is idle. Clients that connect
+     * faster than they may be evicted must not take the place of those that send requests; they wait in the backlog.
+     */
     private boolean evictClient() {
-        return newClients.evictOldest() || idleClients.evictOldest();
+        return newClients.isEmpty() ? idleClients.evictOldest() : newClients.evictOldest();
     }
 }
--- a/src/main/java/gaugegw/proxy/transport/EvictionQueue.java
+++ b/src/main/java/gaugegw/proxy/transport/EvictionQueue.java
@@ -33,6 +33,10 @@
         addedAtNs.remove(channel);
     }
 
+    int size() {
+        return addedAtNs.size();
+    }
+
     boolean isEmpty() {
         return addedAtNs.isEmpty();
     }
--- a/src/test/java/gaugegw/proxy/testing/ProxyFixture.java
+++ b/src/test/java/gaugegw/proxy/testing/ProxyFixture.java
@@ -115,7 +115,13 @@
 
     /** Starts a proxy with the real load balancer and a given limit on descriptors. */
     public static ProxyFixture withRealLoadBalancer(int sockets, ScriptedServer... backends) throws Exception {
-        return new ProxyFixture(EarliestDeadlineLoadBalancer::new, sockets, 15_000_000, c -> c, backends);
+        return withRealLoadBalancer(c -> c, sockets, backends);
+    }
+
+    /** Starts a proxy with the real load balancer, an edited configuration and a given limit on descriptors. */
+    public static ProxyFixture withRealLoadBalancer(UnaryOperator<String> edit, int sockets, ScriptedServer... backends)
+            throws Exception {
+        return new ProxyFixture(EarliestDeadlineLoadBalancer::new, sockets, 15_000_000, edit, backends);
     }
 
     private ProxyFixture(
--- a/src/test/java/gaugegw/proxy/transport/ConnectionLimiterTest.java
+++ b/src/test/java/gaugegw/proxy/transport/ConnectionLimiterTest.java
@@ -76,6 +76,28 @@
         assertThat(backends + clients.size()).isLessThanOrEqualTo(DESCRIPTOR_LIMIT - RESERVED_DESCRIPTORS);
     }
 
+    /** Guards against idle clients that are evicted, or told to close, for clients that have not sent a request. */
+    @Test
+    void clientsWithoutARequestTakeNoPlaceOfAnIdleClient() {
+        var idle = new EmbeddedChannel();
+        limiter.clientOpened(idle);
+        limiter.clientIdle(idle);
+        connectClients(SocketTransport.MAX_ACCEPTS_PER_ITERATION);
+        loop.runPendingTasks();
+        assertThat(idle.isOpen()).isTrue();
+        assertThat(limiter.isNearClientLimit()).isFalse();
+    }
+
+    /** The limit holds for clients that send requests: idle ones are evicted where there are no others. */
+    @Test
+    void idleClientsAreEvictedIfAllClientsHaveSentRequests() {
+        connectClients(SocketTransport.MAX_ACCEPTS_PER_ITERATION);
+        clients.forEach(limiter::clientIdle);
+        assertThat(limiter.isNearClientLimit()).isTrue();
+        loop.runPendingTasks();
+        assertThat(clients.get(0).isOpen()).isFalse();
+    }
+
     /**
      * Clients disconnect in the same iteration of the event loop in which connections to backends are opened. The
      * descriptors of the closed connections are not released until the selector runs next, so they must count until
--- a/src/test/java/gaugegw/proxy/transport/DescriptorReserveTest.java
+++ b/src/test/java/gaugegw/proxy/transport/DescriptorReserveTest.java
@@ -17,6 +17,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -101,6 +102,41 @@
         }
     }
 
+    /** Guards against a kept connection that is closed because clients without a request connect again and again. */
+    @Test
+    @Timeout(60)
+    void keptConnectionStaysOpenBesideClientsThatReconnect() throws Exception {
+        try (var backend = new ScriptedServer();
+                var proxy = ProxyFixture.withRealLoadBalancer(ProxyFixture.LONG_TIMEOUTS, DESCRIPTOR_LIMIT, backend);
+                var kept = proxy.connectClient()) {
+            backend.respondToAll(ScriptedServer.ok("served"));
+            int port = proxy.address.getPort();
+            // From its first request on, the connection is no longer one that may be evicted as new.
+            assertThat(kept.send(ProxyFixture.getWithLongTimeout("first")).read())
+                    .isNotNull();
+            var reconnects = new AtomicInteger();
+            for (int i = 0; i < DESCRIPTOR_LIMIT; i++) {
+                ScriptedServer.runInBackground(() -> {
+                    while (true) {
+                        try (RawConnection silent = RawConnection.connectTo(port)) {
+                            silent.awaitClose();
+                            reconnects.incrementAndGet();
+                        }
+                    }
+                });
+            }
+            int served = 0;
+            while (reconnects.get() < MANY_CLIENTS) {
+                RawConnection.Message response = kept.send(ProxyFixture.getWithLongTimeout("kept" + served))
+                        .read();
+                assertThat(response).isNotNull();
+                assertThat(response.header("Connection")).isNotEqualTo("close");
+                served++;
+            }
+            assertThat(served).isPositive();
+        }
+    }
+
     /**
      * Backends send unexpected bytes on idle connections in the same iteration of the event loop in which attempts
      * acquire these connections. Each is closed instead of reused, but its descriptor is not released yet. Another one
