Limit the time that expensive requests take to decode

Cause: a connection was read until nothing was left, up to 1 MiB at a stretch, and decoding a chunk of one byte costs as much as one of kilobytes.

One read takes 4 KiB at most, so that its cost is small; up to 256 reads in an iteration still find a close behind 1 MiB.

Measured: ExpensiveRequestTest, 400 clients with bodies of 20,000 chunks beside one whose requests wait 1.2 s: no answer 0.5 s after the deadline before, 30 of 30 served now.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A client's connection: reads its requests, handles them one at a time in the order in which they arrive, and enforces
@@ -45,6 +46,9 @@
     /** When the client connected or, later, when the last exchange ended, on the proxy's clock. */
     private long idleSinceUs;
 
+    /** How long decoding the incomplete request has taken so far, in microseconds. */
+    private long requestDecodeUs;
+
     private boolean hasResponded;
     /** The last error on the connection; null if there was none. */
     private Throwable failure;
@@ -78,8 +82,26 @@
             return;
         }
         arrival.bytesRead();
+        long startedAtUs = context.clock().nowUs();
         super.channelRead(ctx, message);
         memory.update();
+        recordDecodeTime(startedAtUs);
+    }
+
+    /** Suspends reading if the incomplete request is expensive to decode; see {@link DecodeTimeLimiter}. */
+    private void recordDecodeTime(long startedAtUs) {
+        if (!arrival.isIncomplete()) {
+            requestDecodeUs = 0;
+            return;
+        }
+        long nowUs = context.clock().nowUs();
+        long readUs = nowUs - startedAtUs;
+        requestDecodeUs += readUs;
+        long delayUs = context.decodeTime().delayUs(requestDecodeUs, readUs, nowUs);
+        if (delayUs > 0) {
+            channel.config().setAutoRead(false);
+            channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), delayUs, TimeUnit.MICROSECONDS);
+        }
     }
 
     private void countUnservedBytes(int bytes) {
--- a/src/main/java/gaugegw/proxy/client/Frontend.java
+++ b/src/main/java/gaugegw/proxy/client/Frontend.java
@@ -58,6 +58,7 @@
                 Math.min(OVERLOAD_RETRY_AFTER_US, settings.limits().maxRetryAfterUs()),
                 new ClientRequestParser(settings, dispatcher::isIdInUse),
                 new EventLoopDelayEstimator(clock),
+                new DecodeTimeLimiter(),
                 new ClientConnectionRegistry(),
                 new DrainState(canServe));
     }
--- a/src/main/java/gaugegw/proxy/transport/SocketTransport.java
+++ b/src/main/java/gaugegw/proxy/transport/SocketTransport.java
@@ -27,8 +27,16 @@
      */
     static final int MAX_ACCEPTS_PER_ITERATION = 32;
 
-    /** Maximum number of reads from one client's socket in one iteration of the event loop. */
-    private static final int MAX_READS_PER_ITERATION = 16;
+    /**
+     * Maximum number of reads from one client's socket in one iteration of the event loop. With {@link
+     * #MAX_READ_BYTES}, a close that follows up to 1 MiB of unread bytes is read with them.
+     */
+    private static final int MAX_READS_PER_ITERATION = 256;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2_048;
+    /** Limits how long the input of one read can take to decode. */
+    private static final int MAX_READ_BYTES = 4_096;
 
     /** Number of new connections that the kernel queues, for example while accepting is paused. */
     private static final int LISTEN_BACKLOG = 1_024;
@@ -68,7 +76,7 @@
                 // Read until nothing is left, up to the maximum: a close by the client shows only after its last byte.
                 .childOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator()
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
                                 .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(MAX_READS_PER_ITERATION))
                 // A client that has shut down its output may still be waiting for responses.
--- /dev/null
+++ b/src/test/java/gaugegw/proxy/client/ExpensiveRequestTest.java
@@ -0,0 +1,85 @@
+package gaugegw.proxy.client;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gaugegw.proxy.testing.ProxyFixture;
+import gaugegw.proxy.testing.ProxyProcess;
+import gaugegw.proxy.testing.RawConnection;
+import gaugegw.proxy.testing.ScriptedServer;
+import java.io.IOException;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requests that are expensive to decode must not keep other clients waiting. */
+class ExpensiveRequestTest {
+    private static final int EXPENSIVE_CLIENTS = 400;
+    private static final int REQUESTS = 30;
+    private static final int DEADLINE_MS = 1_200;
+    /** A response that comes later than this after the deadline is lost. */
+    private static final int LATE_RESPONSE_MS = 500;
+
+    /** Guards against clients that get no response in time while others send bodies in chunks of one byte. */
+    @ParameterizedTest
+    @Timeout(90)
+    @ValueSource(strings = {"chunks", "header lines"})
+    void servesOtherClientsInTime(String kind, @TempDir Path folder) throws Exception {
+        var ended = new AtomicBoolean();
+        try (var backend = new ScriptedServer();
+                var discovery = new ScriptedServer();
+                var proxy = start(folder, discovery)) {
+            backend.respondToAll(ScriptedServer.ok("served"));
+            discovery.respondToAll(ScriptedServer.ok(ProxyFixture.endpointListJson(
+                    42, true, ProxyFixture.endpointJson("s0", backend.address(), "ready"))));
+            int port = proxy.awaitPort();
+            ScriptedServer.await(() -> RawConnection.isReady(port));
+            var connected = new CountDownLatch(EXPENSIVE_CLIENTS);
+            for (int i = 0; i < EXPENSIVE_CLIENTS; i++) {
+                String request = expensiveRequest(kind, i);
+                ScriptedServer.runInBackground(() -> sendAgainAndAgain(port, request, connected, ended));
+            }
+            connected.await();
+            try (RawConnection client = RawConnection.connectTo(port)) {
+                client.socket.setSoTimeout(DEADLINE_MS + LATE_RESPONSE_MS);
+                for (int i = 0; i < REQUESTS; i++) {
+                    String request = ProxyFixture.get("other" + i).replace("1900m", DEADLINE_MS + "m");
+                    assertThat(client.send(request).read().status()).isEqualTo(200);
+                }
+            }
+        } finally {
+            ended.set(true);
+        }
+    }
+
+    private static ProxyProcess start(Path folder, ScriptedServer discovery) throws IOException {
+        String config = ProxyFixture.LONG_TIMEOUTS.apply(ProxyFixture.configText(discovery.address()));
+        return ProxyProcess.start(Files.writeString(folder.resolve("config.json"), config), 1_024);
+    }
+
+    private static String expensiveRequest(String kind, int number) {
+        String post = ProxyFixture.post("expensive" + number, "");
+        String head = post.substring(0, post.indexOf("Content-Length"));
+        return kind.equals("chunks")
+                ? head + "Transfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(20_000) + "0\r\n\r\n"
+                : head + "a:b\r\n".repeat(1_500);
+    }
+
+    private static void sendAgainAndAgain(int port, String request, CountDownLatch connected, AtomicBoolean ended)
+            throws IOException {
+        while (!ended.get()) {
+            try (RawConnection client = RawConnection.connectTo(port)) {
+                connected.countDown();
+                client.send(request);
+                client.awaitCloseSkippingData();
+            } catch (SocketException e) {
+                // The proxy has closed the connection while the request was being sent.
+            }
+        }
+    }
+}
