--- a/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
+++ b/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -84,6 +85,23 @@
         }
     }
 
+    /** Guards against a connection that broke, and whose error is reported once, as the end of a complete response. */
+    @Test
+    @Timeout(60)
+    void errorBeforeTheEndOfTheStreamIsNoEndOfAResponse(@TempDir Path folder) throws Exception {
+        try (var servers = new Servers(folder, "end/other:ETIMEDOUT:2")) {
+            servers.backend.acceptAll(connection -> {
+                connection.read();
+                connection.send("HTTP/1.1 200 OK\r\n\r\nserved");
+                connection.close();
+            });
+            try (RawConnection client = RawConnection.connectTo(servers.port)) {
+                assertThat(status(client, "whole", LONG_DEADLINE_MS)).isEqualTo(200);
+                assertThat(status(client, "broken", LONG_DEADLINE_MS)).isEqualTo(502);
+            }
+        }
+    }
+
     private static void assertThatEveryRequestIsServed(String rules, Path folder) throws Exception {
         assertThatEveryRequestIsServed(rules, folder, ScriptedServer.ok("served"));
     }
@@ -116,11 +134,16 @@
         private final int port;
 
         Servers(Path folder, String rules, String response) throws IOException, InterruptedException {
+            this(folder, rules);
+            backend.respondToAll(response);
+        }
+
+        /** Leaves the responses of the backend to the caller. */
+        Servers(Path folder, String rules) throws IOException, InterruptedException {
             var failures = new FailingSocketCalls(folder, rules);
             String config = ProxyFixture.LONG_TIMEOUTS.apply(ProxyFixture.configText(discovery.address()));
             proxy = ProxyProcess.start(
                     Files.writeString(folder.resolve("config.json"), config), failures.shellPrefix());
-            backend.respondToAll(response);
             discovery.respondToAll(ScriptedServer.ok(ProxyFixture.endpointListJson(
                     42, true, ProxyFixture.endpointJson("s0", backend.address(), "ready"))));
             port = proxy.awaitPort();
--- a/src/test/native/failing_socket_calls.c
+++ b/src/test/native/failing_socket_calls.c
@@ -3,7 +3,8 @@
  * made to fail has no effect. Files, pipes and event descriptors are left alone.
  *
  * FAILING_SOCKET_CALLS lists what fails, separated by commas: CALL[/SIDE]:ERROR:INTERVAL[:BURST]
- *   CALL      read, write (each with its vector form), connect, accept, socket, epoll_wait or poll
+ *   CALL      read, write (each with its vector form), connect, accept, socket, epoll_wait or poll; or
+ *             end: a read at the end of the stream, as if the end had been found by an error that is reported once
  *   SIDE      client: connections that were accepted; other: all others; both if there is none
  *   ERROR     a name of errno.h that is in the table below, or SHORT: at most SHORT_BYTES are read or written
  *   INTERVAL  one in so many matching calls begins a burst
@@ -198,12 +199,18 @@
     return dlsym(RTLD_NEXT, name);
 }
 
+static ssize_t end_of_stream(int fd) {
+    int failure = transfer_failure("end", fd);
+    return failure > 0 ? fail(failure) : 0;
+}
+
 ssize_t read(int fd, void *buffer, size_t size) {
     int failure = transfer_failure("read", fd);
     if (failure > 0) {
         return fail(failure);
     }
-    return REAL(read)(fd, buffer, failure == SHORT_TRANSFER ? short_size(size) : size);
+    ssize_t result = REAL(read)(fd, buffer, failure == SHORT_TRANSFER ? short_size(size) : size);
+    return result == 0 && size > 0 ? end_of_stream(fd) : result;
 }
 
 ssize_t write(int fd, const void *buffer, size_t size) {
