Count the time that a connection has waited in the backlog

The deadline passed to the backend exceeded what the client had left by over the slack of 150 ms.

Change: the backlog may have been filled since it was last seen empty, or since accepting was paused. A first request that is read with its accept counts from then, by at most 150 ms: where the backlog is never seen empty a longer estimate would leave no time for requests that have waited only briefly.

--- a/src/main/java/gaugegw/proxy/client/RequestArrival.java
+++ b/src/main/java/gaugegw/proxy/client/RequestArrival.java
@@ -8,18 +8,38 @@
 final class RequestArrival {
     private static final long NONE = -1;
 
+    /**
+     * Bytes that are read so soon after the accept, in microseconds, may have been received before it: an event loop
+     * reads an accepted connection in its next iteration.
+     */
+    private static final long FIRST_READ_US = 20_000;
+
     private final EventLoopDelayEstimator delayEstimator;
+    /** When the client may have connected, on the proxy's clock. */
+    private final long connectedAtUs;
+    /** Until when bytes may have been received before the connection was accepted, on the proxy's clock. */
+    private final long firstReadUntilUs;
+
     private long firstByteAtUs = NONE;
     private long lastCompletedFirstByteAtUs;
 
-    RequestArrival(EventLoopDelayEstimator delayEstimator) {
+    /**
+     * Records a new connection.
+     *
+     * @param acceptedAtUs when the connection was accepted, on the proxy's clock
+     * @param backlogWaitUs how long it may have waited for that, in microseconds
+     */
+    RequestArrival(EventLoopDelayEstimator delayEstimator, long acceptedAtUs, long backlogWaitUs) {
         this.delayEstimator = delayEstimator;
+        this.connectedAtUs = acceptedAtUs - backlogWaitUs;
+        this.firstReadUntilUs = acceptedAtUs + FIRST_READ_US;
     }
 
     /** Records that bytes were read. The first ones after a complete request are the beginning of the next request. */
     void bytesRead() {
         if (!isIncomplete()) {
-            firstByteAtUs = delayEstimator.earliestReceiptAtUs();
+            long receivedAtUs = delayEstimator.earliestReceiptAtUs();
+            firstByteAtUs = receivedAtUs <= firstReadUntilUs ? Math.min(receivedAtUs, connectedAtUs) : receivedAtUs;
         }
     }
 
--- a/src/main/java/gaugegw/proxy/transport/ConnectionLimiter.java
+++ b/src/main/java/gaugegw/proxy/transport/ConnectionLimiter.java
@@ -153,6 +153,14 @@
     private void updateAccepting() {
         boolean accepting = clients <= budget.maxClients() && heldDescriptors() <= budget.softConnectionLimit();
         if (listeningChannel != null && listeningChannel.config().isAutoRead() != accepting) {
+            setAccepting(accepting);
+        }
+    }
+
+    private void setAccepting(boolean accepting) {
+        if (listeningChannel instanceof RetryingServerSocketChannel sockets) {
+            sockets.setAccepting(accepting);
+        } else {
             listeningChannel.config().setAutoRead(accepting);
         }
     }
--- a/src/main/java/gaugegw/proxy/transport/RetryingServerSocketChannel.java
+++ b/src/main/java/gaugegw/proxy/transport/RetryingServerSocketChannel.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SocketChannel;
 import java.util.List;
 
@@ -18,6 +19,7 @@
 
     private final SocketFailureListener listener;
     private final SocketCallRetry accepts;
+    private final BacklogWait backlogWait = new BacklogWait(System::nanoTime);
 
     RetryingServerSocketChannel(SocketFailureListener listener) {
         this.listener = listener;
@@ -30,23 +32,30 @@
         if (socket == null) {
             return 0;
         }
-        accepted.add(new RetryingSocketChannel(this, socket, listener));
+        backlogWait.mayFill();
+        accepted.add(new RetryingSocketChannel(this, socket, listener, backlogWait.estimateUs()));
         return 1;
     }
 
     /** Returns the next connection; null if there is none, or if accepts have failed and pause now. */
-    private SocketChannel acceptOrPause() {
+    private SocketChannel acceptOrPause() throws ClosedChannelException {
         for (int failures = 1; ; failures++) {
             try {
                 SocketChannel socket = javaChannel().accept();
                 accepts.succeeded();
+                if (socket == null) {
+                    backlogWait.foundEmpty();
+                }
                 return socket;
+            } catch (ClosedChannelException e) {
+                throw e;
             } catch (IOException e) {
                 if (failures < MAX_FAILURES_WITHOUT_PAUSE) {
                     listener.callFailed("accept", this, e);
                 } else {
                     // No further accept event, which would come at once, until the delay has passed.
                     clearReadPending();
+                    backlogWait.mayFill();
                     accepts.failed(e, this::resumeAccepting);
                     return null;
                 }
@@ -54,6 +63,24 @@
         }
     }
 
+    /**
+     * Pauses or resumes accepting, for the limit on connections. When it is resumed, one more accept shows whether
+     * connections have waited.
+     */
+    void setAccepting(boolean accepting) {
+        backlogWait.mayFill();
+        config().setAutoRead(accepting);
+        if (accepting) {
+            eventLoop().execute(this::acceptNow);
+        }
+    }
+
+    private void acceptNow() {
+        if (isOpen()) {
+            unsafe().read();
+        }
+    }
+
     /** Accepts again, unless {@link ConnectionLimiter} has meanwhile paused that. */
     private void resumeAccepting() {
         if (config().isAutoRead()) {
--- a/src/main/java/gaugegw/proxy/transport/RetryingSocketChannel.java
+++ b/src/main/java/gaugegw/proxy/transport/RetryingSocketChannel.java
@@ -20,19 +20,32 @@
     private final SocketCallRetry reads;
     private final SocketCallRetry writes;
 
+    private final long backlogWaitUs;
+
     /** Creates a channel that is not connected. */
     RetryingSocketChannel(SocketFailureListener listener) {
+        backlogWaitUs = 0;
         reads = new SocketCallRetry("read", this, listener);
         writes = new SocketCallRetry("write", this, listener);
     }
 
-    /** Creates the channel of a connection that a listening channel has accepted. */
-    RetryingSocketChannel(Channel parent, SocketChannel accepted, SocketFailureListener listener) {
+    /**
+     * Creates the channel of a connection that a listening channel has accepted.
+     *
+     * @param backlogWaitUs how long the connection may have waited to be accepted, in microseconds
+     */
+    RetryingSocketChannel(Channel parent, SocketChannel accepted, SocketFailureListener listener, long backlogWaitUs) {
         super(parent, accepted);
+        this.backlogWaitUs = backlogWaitUs;
         reads = new SocketCallRetry("read", this, listener);
         writes = new SocketCallRetry("write", this, listener);
     }
 
+    /** Returns how long the connection may have waited to be accepted, in microseconds. */
+    long backlogWaitUs() {
+        return backlogWaitUs;
+    }
+
     @Override
     protected int doReadBytes(ByteBuf buffer) throws Exception {
         int bytes;
--- a/src/main/java/gaugegw/proxy/transport/Transport.java
+++ b/src/main/java/gaugegw/proxy/transport/Transport.java
@@ -36,6 +36,14 @@
         }
     }
 
+    /**
+     * Returns how long a connection may have waited in the backlog of the listening socket before it was accepted, in
+     * microseconds; 0 if it has not.
+     */
+    static long backlogWaitUs(Channel channel) {
+        return channel instanceof RetryingSocketChannel accepted ? accepted.backlogWaitUs() : 0;
+    }
+
     /**
      * Sets who is notified of system calls that have failed and will be made again. To be called before the first
      * connection is made or accepted. Has no effect on a transport that makes no system calls.
