--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -46,8 +46,10 @@
     /** When the client connected or, later, when the last exchange ended, on the proxy's clock. */
     private long idleSinceUs;
 
-    /** How long decoding the incomplete request has taken so far, in microseconds. */
-    private long requestDecodeUs;
+    /** The number of parts that have been decoded, as {@link RequestAggregator#decodedParts} counts them. */
+    private long decodedParts;
+    /** The number of parts that had been decoded when the last request was complete. */
+    private long partsBeforeRequest;
 
     private boolean hasResponded;
     /** The last error on the connection; null if there was none. */
@@ -83,22 +85,24 @@
             return;
         }
         arrival.bytesRead();
-        long startedAtUs = context.clock().nowUs();
         super.channelRead(ctx, message);
         memory.update();
-        recordDecodeTime(startedAtUs);
+        limitDecodeWork();
     }
 
-    /** Suspends reading if the incomplete request is expensive to decode; see {@link DecodeTimeLimiter}. */
-    private void recordDecodeTime(long startedAtUs) {
+    /** Suspends reading if the incomplete request is expensive to decode; see {@link DecodeWorkLimiter}. */
+    private void limitDecodeWork() {
+        long partsBeforeRead = decodedParts;
+        decodedParts = aggregator.decodedParts();
         if (!arrival.isIncomplete()) {
-            requestDecodeUs = 0;
+            partsBeforeRequest = decodedParts;
             return;
         }
-        long nowUs = context.clock().nowUs();
-        long readUs = nowUs - startedAtUs;
-        requestDecodeUs += readUs;
-        long delayUs = context.decodeTime().delayUs(requestDecodeUs, readUs, nowUs);
+        long delayUs = context.decodeWork()
+                .delayUs(
+                        decodedParts - partsBeforeRequest,
+                        decodedParts - partsBeforeRead,
+                        context.clock().nowUs());
         if (delayUs > 0) {
             channel.config().setAutoRead(false);
             channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), delayUs, TimeUnit.MICROSECONDS);
--- a/src/main/java/gaugegw/proxy/client/ClientContext.java
+++ b/src/main/java/gaugegw/proxy/client/ClientContext.java
@@ -21,7 +21,7 @@
  *     the settings permit none
  * @param requestParser checks and parses requests
  * @param delayEstimator estimates when a byte that is read now was received
- * @param decodeTime limits the time that expensive requests take to decode
+ * @param decodeWork limits the time that goes into decoding expensive requests
  * @param connections all open connections
  * @param drainState the steps that a graceful shutdown has reached
  */
@@ -36,6 +36,6 @@
         long overloadRetryAfterUs,
         ClientRequestParser requestParser,
         EventLoopDelayEstimator delayEstimator,
-        DecodeTimeLimiter decodeTime,
+        DecodeWorkLimiter decodeWork,
         ClientConnectionRegistry connections,
         DrainState drainState) {}
--- a/src/main/java/gaugegw/proxy/client/Frontend.java
+++ b/src/main/java/gaugegw/proxy/client/Frontend.java
@@ -58,7 +58,7 @@
                 Math.min(OVERLOAD_RETRY_AFTER_US, settings.limits().maxRetryAfterUs()),
                 new ClientRequestParser(settings, dispatcher::isIdInUse),
                 new EventLoopDelayEstimator(clock),
-                new DecodeTimeLimiter(),
+                new DecodeWorkLimiter(),
                 new ClientConnectionRegistry(),
                 new DrainState(canServe));
     }
--- a/src/main/java/gaugegw/proxy/client/RequestAggregator.java
+++ b/src/main/java/gaugegw/proxy/client/RequestAggregator.java
@@ -55,6 +55,12 @@
         return new MemoryUse(headBytes + undecodedBytes(), body.capacity());
     }
 
+    /** Returns the number of parts that have been decoded on this connection; 0 after {@link #dropInput}. */
+    long decodedParts() {
+        StrictRequestDecoder decoder = pipeline.get(StrictRequestDecoder.class);
+        return decoder == null ? 0 : decoder.decodedParts();
+    }
+
     /** Returns whether there is no part of an incomplete request. */
     boolean isEmpty() {
         return head == null && undecodedBytes() == 0;
--- a/src/main/java/gaugegw/proxy/http/StrictRequestDecoder.java
+++ b/src/main/java/gaugegw/proxy/http/StrictRequestDecoder.java
@@ -13,12 +13,18 @@
  */
 public final class StrictRequestDecoder extends HttpRequestDecoder {
     private final PartialHead partialHead = new PartialHead();
+    private long decodedParts;
 
     /** Returns the memory held on the Java heap for what has not been passed on yet, in bytes. */
     public long heapBytes() {
         return partialHead.heapBytes() + internalBuffer().capacity();
     }
 
+    /** Returns the number of header lines and of parts of bodies that have been decoded. */
+    public long decodedParts() {
+        return decodedParts;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
         super.channelRead(ctx, message instanceof ByteBuf read ? ReadBuffers.copyAndRelease(read) : message);
@@ -29,6 +35,7 @@
     protected void decode(ChannelHandlerContext ctx, ByteBuf bytes, List<Object> out) throws Exception {
         int before = bytes.readableBytes();
         super.decode(ctx, bytes, out);
+        decodedParts += out.size();
         partialHead.decoded(before - bytes.readableBytes(), !out.isEmpty());
     }
 
@@ -39,6 +46,7 @@
 
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        decodedParts++;
         partialHead.lineDecoded();
         FramingChecks.requireColon(line, start + length);
         return super.splitHeaderName(line, start, length);
