--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -59,8 +59,8 @@
         this.context = context;
         this.channel = channel;
         this.aggregator = new RequestAggregator(this, channel.pipeline());
-        this.arrival =
-                new RequestArrival(context.delayEstimator(), context.clock().nowUs(), Transport.backlogWaitUs(channel));
+        this.arrival = new RequestArrival(
+                context.delayEstimator(), context.clock().nowUs(), Transport.connectedForUs(channel));
         this.closing = new ClosingSequence(channel, context.clock(), context.limiter());
         this.memory = new ClientConnectionMemory(context, this, channel, aggregator, pipelinedRequests);
     }
--- a/src/main/java/gaugegw/proxy/client/RequestArrival.java
+++ b/src/main/java/gaugegw/proxy/client/RequestArrival.java
@@ -26,13 +26,13 @@
     /**
      * Records a new connection.
      *
-     * @param acceptedAtUs when the connection was accepted, on the proxy's clock
-     * @param backlogWaitUs how long it may have waited for that, in microseconds
+     * @param nowUs the time on the proxy's clock
+     * @param connectedForUs how long the client may have been connected, in microseconds
      */
-    RequestArrival(EventLoopDelayEstimator delayEstimator, long acceptedAtUs, long backlogWaitUs) {
+    RequestArrival(EventLoopDelayEstimator delayEstimator, long nowUs, long connectedForUs) {
         this.delayEstimator = delayEstimator;
-        this.connectedAtUs = acceptedAtUs - backlogWaitUs;
-        this.firstReadUntilUs = acceptedAtUs + FIRST_READ_US;
+        this.connectedAtUs = nowUs - connectedForUs;
+        this.firstReadUntilUs = nowUs + FIRST_READ_US;
     }
 
     /** Records that bytes were read. The first ones after a complete request are the beginning of the next request. */
--- a/src/main/java/gaugegw/proxy/transport/BacklogWait.java
+++ b/src/main/java/gaugegw/proxy/transport/BacklogWait.java
@@ -37,9 +37,12 @@
         emptyBefore = true;
     }
 
-    /** Returns the longest time that a connection that is accepted now is assumed to have waited, in microseconds. */
-    long estimateUs() {
-        long sinceFilledNs = emptyBefore ? 0 : nanoTime.getAsLong() - filledSinceNs;
-        return TimeUnit.NANOSECONDS.toMicros(Math.min(MAX_WAIT_NS, sinceFilledNs));
+    /**
+     * Returns since when a connection that is accepted now is assumed to have waited, as {@link System#nanoTime}; the
+     * current time if it has not.
+     */
+    long connectedSinceNs() {
+        long nowNs = nanoTime.getAsLong();
+        return emptyBefore ? nowNs : nowNs - Math.min(MAX_WAIT_NS, nowNs - filledSinceNs);
     }
 }
--- a/src/main/java/gaugegw/proxy/transport/RetryingServerSocketChannel.java
+++ b/src/main/java/gaugegw/proxy/transport/RetryingServerSocketChannel.java
@@ -33,7 +33,7 @@
             return 0;
         }
         backlogWait.mayFill();
-        accepted.add(new RetryingSocketChannel(this, socket, listener, backlogWait.estimateUs()));
+        accepted.add(new RetryingSocketChannel(this, socket, listener, backlogWait.connectedSinceNs()));
         return 1;
     }
 
@@ -76,7 +76,7 @@
     }
 
     private void acceptNow() {
-        if (isOpen()) {
+        if (isOpen() && config().isAutoRead()) {
             unsafe().read();
         }
     }
--- a/src/main/java/gaugegw/proxy/transport/RetryingSocketChannel.java
+++ b/src/main/java/gaugegw/proxy/transport/RetryingSocketChannel.java
@@ -20,11 +20,12 @@
     private final SocketCallRetry reads;
     private final SocketCallRetry writes;
 
-    private final long backlogWaitUs;
+    /** Since when the connection may have been established, as {@link System#nanoTime}. */
+    private final long connectedSinceNs;
 
     /** Creates a channel that is not connected. */
     RetryingSocketChannel(SocketFailureListener listener) {
-        backlogWaitUs = 0;
+        connectedSinceNs = System.nanoTime();
         reads = new SocketCallRetry("read", this, listener);
         writes = new SocketCallRetry("write", this, listener);
     }
@@ -32,18 +33,19 @@
     /**
      * Creates the channel of a connection that a listening channel has accepted.
      *
-     * @param backlogWaitUs how long the connection may have waited to be accepted, in microseconds
+     * @param connectedSinceNs since when the connection may have waited to be accepted, as {@link System#nanoTime}
      */
-    RetryingSocketChannel(Channel parent, SocketChannel accepted, SocketFailureListener listener, long backlogWaitUs) {
+    RetryingSocketChannel(
+            Channel parent, SocketChannel accepted, SocketFailureListener listener, long connectedSinceNs) {
         super(parent, accepted);
-        this.backlogWaitUs = backlogWaitUs;
+        this.connectedSinceNs = connectedSinceNs;
         reads = new SocketCallRetry("read", this, listener);
         writes = new SocketCallRetry("write", this, listener);
     }
 
-    /** Returns how long the connection may have waited to be accepted, in microseconds. */
-    long backlogWaitUs() {
-        return backlogWaitUs;
+    /** Returns since when the client may have been connected, as {@link System#nanoTime}. */
+    long connectedSinceNs() {
+        return connectedSinceNs;
     }
 
     @Override
--- a/src/main/java/gaugegw/proxy/transport/Transport.java
+++ b/src/main/java/gaugegw/proxy/transport/Transport.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Provides the means to listen and connect, and the event loop whose single thread serves all connections. A proxy uses
@@ -37,11 +38,13 @@
     }
 
     /**
-     * Returns how long a connection may have waited in the backlog of the listening socket before it was accepted, in
-     * microseconds; 0 if it has not.
+     * Returns how long the client of an accepted connection may have been connected until now, in microseconds: it may
+     * have waited in the backlog of the listening socket, and then for the event loop.
      */
-    static long backlogWaitUs(Channel channel) {
-        return channel instanceof RetryingSocketChannel accepted ? accepted.backlogWaitUs() : 0;
+    static long connectedForUs(Channel channel) {
+        return channel instanceof RetryingSocketChannel accepted
+                ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - accepted.connectedSinceNs())
+                : 0;
     }
 
     /**
