Write the sampled log lines and the start of a proxy process once

MemoryLimiter and SocketFailureLog each logged one of many events a second with the number of the others: SampledLog does it for both. The end of the line about shed messages is 'such events' now, not 'connections so treated'; no test or page matched it. Three test classes started a process with a backend and discovery and waited until it was ready: ReadyProxyProcess.

--- a/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
+++ b/src/main/java/gaugegw/proxy/lifecycle/ProxyServer.java
@@ -8,6 +8,7 @@
 import gaugegw.proxy.discovery.EndpointWatcher;
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.logging.SampledLog;
 import gaugegw.proxy.logging.TrafficCounters;
 import gaugegw.proxy.memory.MemoryBudget;
 import gaugegw.proxy.memory.MemoryLimiter;
@@ -65,7 +66,7 @@
         loop = transport.loop();
         var clock = new Clock();
         var settings = config.settings();
-        transport.setSocketFailureListener(new SocketFailureLog(clock, log, counters));
+        transport.setSocketFailureListener(new SocketFailureLog(new SampledLog(clock::nowUs, log), counters));
         var limiter = new ConnectionLimiter(loop, config.descriptorLimit());
         var memory = new MemoryLimiter(clock::nowUs, log, MemoryBudget.ofRuntime(config.memoryLimitBytes()));
         var upstreams = new UpstreamClient(
--- a/src/main/java/gaugegw/proxy/memory/MemoryLimiter.java
+++ b/src/main/java/gaugegw/proxy/memory/MemoryLimiter.java
@@ -1,6 +1,7 @@
 package gaugegw.proxy.memory;
 
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.logging.SampledLog;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
@@ -25,21 +26,13 @@
     /** Counts as the time without progress of a message that has just made some, in microseconds. */
     private static final long MIN_STALLED_US = 1_000;
 
-    /** Interval between two log lines about messages that were given up, in microseconds. */
-    private static final long LOG_INTERVAL_US = 1_000_000;
-
     private final LongSupplier clock;
-    private final RateLimitedLog log;
+    private final SampledLog log;
     private final MemoryPool heap;
     private final MemoryPool direct;
     private final Set<MemoryAccount> accounts = new LinkedHashSet<>();
     /** Whether messages are being given up; that changes accounts, which must not start it again. */
     private boolean shedding;
-    /** Number of connections that have given up messages since the last log line. */
-    private int shedSinceLog;
-
-    private long loggedAtUs;
-
     /**
      * Creates a limiter without accounts.
      *
@@ -47,10 +40,9 @@
      */
     public MemoryLimiter(LongSupplier clock, RateLimitedLog log, MemoryBudget budget) {
         this.clock = clock;
-        this.log = log;
+        this.log = new SampledLog(clock, log);
         heap = new MemoryPool("heap", budget.heapBytes());
         direct = new MemoryPool("direct", budget.directBytes());
-        loggedAtUs = clock.getAsLong() - LOG_INTERVAL_US;
     }
 
     /** Opens the account of a connection, which must close it. */
@@ -131,18 +123,10 @@
     }
 
     private void logShed(MemoryPool pool, ShedStage stage, Candidate candidate) {
-        shedSinceLog++;
-        long nowUs = clock.getAsLong();
-        if (nowUs - loggedAtUs < LOG_INTERVAL_US) {
-            return;
-        }
-        log.write("unfinished messages hold " + pool.usedBytes() + " bytes of " + pool.name() + " memory, the limit is "
-                + pool.limitBytes(stage) + ": giving up " + describe(stage) + " of "
+        log.event(() -> "unfinished messages hold " + pool.usedBytes() + " bytes of " + pool.name()
+                + " memory, the limit is " + pool.limitBytes(stage) + ": giving up " + describe(stage) + " of "
                 + candidate.account().holder().peer() + ", which holds " + candidate.bytes()
-                + " bytes and has made no progress for " + candidate.stalledUs() / 1_000 + " ms; " + shedSinceLog
-                + " connections so treated since the last such line");
-        loggedAtUs = nowUs;
-        shedSinceLog = 0;
+                + " bytes and has made no progress for " + candidate.stalledUs() / 1_000 + " ms");
     }
 
     private static String describe(ShedStage stage) {
--- a/src/test/java/gaugegw/proxy/client/ExpensiveRequestTest.java
+++ b/src/test/java/gaugegw/proxy/client/ExpensiveRequestTest.java
@@ -3,12 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import gaugegw.proxy.testing.ProxyFixture;
-import gaugegw.proxy.testing.ProxyProcess;
 import gaugegw.proxy.testing.RawConnection;
+import gaugegw.proxy.testing.ReadyProxyProcess;
 import gaugegw.proxy.testing.ScriptedServer;
 import java.io.IOException;
 import java.net.SocketException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -31,14 +30,9 @@
     @ValueSource(strings = {"chunks", "header lines"})
     void servesOtherClientsInTime(String kind, @TempDir Path folder) throws Exception {
         var ended = new AtomicBoolean();
-        try (var backend = new ScriptedServer();
-                var discovery = new ScriptedServer();
-                var proxy = start(folder, discovery)) {
-            backend.respondToAll(ScriptedServer.ok("served"));
-            discovery.respondToAll(ScriptedServer.ok(ProxyFixture.endpointListJson(
-                    42, true, ProxyFixture.endpointJson("s0", backend.address(), "ready"))));
-            int port = proxy.awaitPort();
-            ScriptedServer.await(() -> RawConnection.isReady(port));
+        try (var proxy = new ReadyProxyProcess(folder, "ulimit -n 1024; ")) {
+            proxy.backend.respondToAll(ScriptedServer.ok("served"));
+            int port = proxy.port;
             var connected = new CountDownLatch(EXPENSIVE_CLIENTS);
             for (int i = 0; i < EXPENSIVE_CLIENTS; i++) {
                 String request = expensiveRequest(kind, i);
@@ -57,11 +51,6 @@
         }
     }
 
-    private static ProxyProcess start(Path folder, ScriptedServer discovery) throws IOException {
-        String config = ProxyFixture.LONG_TIMEOUTS.apply(ProxyFixture.configText(discovery.address()));
-        return ProxyProcess.start(Files.writeString(folder.resolve("config.json"), config), 1_024);
-    }
-
     private static String expensiveRequest(String kind, int number) {
         String post = ProxyFixture.post("expensive" + number, "");
         String head = post.substring(0, post.indexOf("Content-Length"));
--- a/src/test/java/gaugegw/proxy/client/UnfinishedRequestMemoryTest.java
+++ b/src/test/java/gaugegw/proxy/client/UnfinishedRequestMemoryTest.java
@@ -4,11 +4,10 @@
 
 import gaugegw.proxy.http.HttpLimits;
 import gaugegw.proxy.testing.ProxyFixture;
-import gaugegw.proxy.testing.ProxyProcess;
 import gaugegw.proxy.testing.RawConnection;
+import gaugegw.proxy.testing.ReadyProxyProcess;
 import gaugegw.proxy.testing.ScriptedServer;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,14 +32,9 @@
     @ValueSource(strings = {"body", "head", "body after long head", "chunks", "pipelined"})
     void servesOtherClientsWhileManyStopInARequest(String stopIn, @TempDir Path folder) throws Exception {
         var clients = new ArrayList<RawConnection>();
-        try (var backend = new ScriptedServer();
-                var discovery = new ScriptedServer();
-                var proxy = start(folder, discovery)) {
-            backend.respondToAll(ScriptedServer.ok("served"));
-            discovery.respondToAll(ScriptedServer.ok(ProxyFixture.endpointListJson(
-                    42, true, ProxyFixture.endpointJson("s0", backend.address(), "ready"))));
-            int port = proxy.awaitPort();
-            ScriptedServer.await(() -> getsOk(port, "GET /ready HTTP/1.1\r\n\r\n"));
+        try (var proxy = new ReadyProxyProcess(folder, "ulimit -n 1024; ")) {
+            proxy.backend.respondToAll(ScriptedServer.ok("served"));
+            int port = proxy.port;
             connectStoppingClients(port, bytesBeforeStop(stopIn), clients);
             assertThat(getsOk(port, withLongTimeout(ProxyFixture.get("get")))).isTrue();
             assertThat(getsOk(port, withLongTimeout(ProxyFixture.post("post", LONGEST_BODY))))
@@ -49,7 +43,7 @@
                 assertThat(client.awaitCloseSkippingData()).isTrue();
             }
             assertThat(getsOk(port, withLongTimeout(ProxyFixture.get("last")))).isTrue();
-            assertThat(proxy.hasLogged("OutOfMemoryError")).isFalse();
+            assertThat(proxy.process.hasLogged("OutOfMemoryError")).isFalse();
         } finally {
             for (RawConnection client : clients) {
                 client.close();
@@ -57,11 +51,6 @@
         }
     }
 
-    private static ProxyProcess start(Path folder, ScriptedServer discovery) throws IOException {
-        String config = ProxyFixture.LONG_TIMEOUTS.apply(ProxyFixture.configText(discovery.address()));
-        return ProxyProcess.start(Files.writeString(folder.resolve("config.json"), config), 1_024);
-    }
-
     private static String bytesBeforeStop(String stopIn) {
         String post = ProxyFixture.post("stopped", LONGEST_BODY);
         String headEnd = "\r\n\r\n";
--- a/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
+++ b/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
@@ -4,12 +4,10 @@
 
 import gaugegw.proxy.testing.FailingSocketCalls;
 import gaugegw.proxy.testing.ProxyFixture;
-import gaugegw.proxy.testing.ProxyProcess;
 import gaugegw.proxy.testing.RawConnection;
+import gaugegw.proxy.testing.ReadyProxyProcess;
 import gaugegw.proxy.testing.ScriptedServer;
-import java.io.Closeable;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -75,9 +73,10 @@
     @Timeout(60)
     @ValueSource(strings = {"accept:ENFILE:2", "accept:EMFILE:3:2", "accept:ENOBUFS:4:6", "accept:ENOMEM:2"})
     void newConnectionIsServedInTimeDespiteFailedAccepts(String rules, @TempDir Path folder) throws Exception {
-        try (var servers = new Servers(folder, rules, ScriptedServer.ok("served"))) {
+        try (var proxy = start(folder, rules)) {
+            proxy.backend.respondToAll(ScriptedServer.ok("served"));
             for (int i = 0; i < REQUESTS; i++) {
-                try (RawConnection client = RawConnection.connectTo(servers.port)) {
+                try (RawConnection client = RawConnection.connectTo(proxy.port)) {
                     client.socket.setSoTimeout(DEADLINE_MS + LATE_RESPONSE_MS);
                     assertThat(status(client, "new" + i, DEADLINE_MS)).isEqualTo(200);
                 }
@@ -89,13 +88,13 @@
     @Test
     @Timeout(60)
     void errorBeforeTheEndOfTheStreamIsNoEndOfAResponse(@TempDir Path folder) throws Exception {
-        try (var servers = new Servers(folder, "end/other:ETIMEDOUT:2")) {
-            servers.backend.acceptAll(connection -> {
+        try (var proxy = start(folder, "end/other:ETIMEDOUT:2")) {
+            proxy.backend.acceptAll(connection -> {
                 connection.read();
                 connection.send("HTTP/1.1 200 OK\r\n\r\nserved");
                 connection.close();
             });
-            try (RawConnection client = RawConnection.connectTo(servers.port)) {
+            try (RawConnection client = RawConnection.connectTo(proxy.port)) {
                 assertThat(status(client, "whole", LONG_DEADLINE_MS)).isEqualTo(200);
                 assertThat(status(client, "broken", LONG_DEADLINE_MS)).isEqualTo(502);
             }
@@ -107,11 +106,12 @@
     }
 
     private static void assertThatEveryRequestIsServed(String rules, Path folder, String response) throws Exception {
-        try (var servers = new Servers(folder, rules, response);
-                RawConnection kept = RawConnection.connectTo(servers.port)) {
+        try (var proxy = start(folder, rules);
+                RawConnection kept = RawConnection.connectTo(proxy.port)) {
+            proxy.backend.respondToAll(response);
             for (int i = 0; i < REQUESTS; i++) {
                 assertThat(status(kept, "kept" + i, LONG_DEADLINE_MS)).isEqualTo(200);
-                try (RawConnection unused = RawConnection.connectTo(servers.port)) {
+                try (RawConnection unused = RawConnection.connectTo(proxy.port)) {
                     assertThat(status(unused, "unused" + i, LONG_DEADLINE_MS)).isEqualTo(200);
                 }
             }
@@ -126,36 +126,11 @@
         return response == null ? 0 : response.status();
     }
 
-    /** A proxy that is ready and whose calls fail from now on, with its backend and discovery. */
-    private static final class Servers implements Closeable {
-        private final ScriptedServer backend = new ScriptedServer();
-        private final ScriptedServer discovery = new ScriptedServer();
-        private final ProxyProcess proxy;
-        private final int port;
-
-        Servers(Path folder, String rules, String response) throws IOException, InterruptedException {
-            this(folder, rules);
-            backend.respondToAll(response);
-        }
-
-        /** Leaves the responses of the backend to the caller. */
-        Servers(Path folder, String rules) throws IOException, InterruptedException {
-            var failures = new FailingSocketCalls(folder, rules);
-            String config = ProxyFixture.LONG_TIMEOUTS.apply(ProxyFixture.configText(discovery.address()));
-            proxy = ProxyProcess.start(
-                    Files.writeString(folder.resolve("config.json"), config), failures.shellPrefix());
-            discovery.respondToAll(ScriptedServer.ok(ProxyFixture.endpointListJson(
-                    42, true, ProxyFixture.endpointJson("s0", backend.address(), "ready"))));
-            port = proxy.awaitPort();
-            ScriptedServer.await(() -> RawConnection.isReady(port));
-            failures.enable(true);
-        }
-
-        @Override
-        public void close() throws IOException {
-            proxy.close();
-            backend.close();
-            discovery.close();
-        }
+    /** Returns a proxy that is ready and whose calls fail from now on. */
+    private static ReadyProxyProcess start(Path folder, String rules) throws IOException, InterruptedException {
+        var failures = new FailingSocketCalls(folder, rules);
+        var proxy = new ReadyProxyProcess(folder, failures.shellPrefix());
+        failures.enable(true);
+        return proxy;
     }
 }
