Read a connection whose registration with the selector has failed

The Java runtime ignores that error.

Change: a channel that the selector has not reported since it was registered for reads is read after 100 ms; if that finds anything it is registered again. The listening channel is tried every 100 ms.

Measured: FailingSocketCallTest with 1 in 10 additions failing lost a request before; newConnectionIsServedInTimeDespiteFailedRegistrations and the case with failing reads besides pass now (the latter failed without the check after a pause).

--- a/src/main/java/gaugegw/proxy/transport/RetryingServerSocketChannel.java
+++ b/src/main/java/gaugegw/proxy/transport/RetryingServerSocketChannel.java
@@ -1,10 +1,13 @@
 package gaugegw.proxy.transport;
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A listening socket that accepts again shortly after an accept has failed. Netty would accept no connection for a
@@ -17,6 +20,12 @@
      */
     private static final int MAX_FAILURES_WITHOUT_PAUSE = 8;
 
+    /**
+     * Interval at which connections are accepted that the selector has not reported, in milliseconds: the registration
+     * of the channel may have failed, which the Java runtime does not tell.
+     */
+    private static final long UNREPORTED_ACCEPT_INTERVAL_MS = 100;
+
     private final SocketFailureListener listener;
     private final SocketCallRetry accepts;
     private final BacklogWait backlogWait = new BacklogWait(System::nanoTime);
@@ -26,6 +35,18 @@
         this.accepts = new SocketCallRetry("accept", this, listener);
     }
 
+    @Override
+    protected void doBind(SocketAddress localAddress) throws Exception {
+        super.doBind(localAddress);
+        Future<?> accepting = eventLoop()
+                .scheduleWithFixedDelay(
+                        this::acceptNow,
+                        UNREPORTED_ACCEPT_INTERVAL_MS,
+                        UNREPORTED_ACCEPT_INTERVAL_MS,
+                        TimeUnit.MILLISECONDS);
+        closeFuture().addListener(f -> accepting.cancel(false));
+    }
+
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
         SocketChannel socket = acceptOrPause();
--- a/src/main/java/gaugegw/proxy/transport/RetryingSocketChannel.java
+++ b/src/main/java/gaugegw/proxy/transport/RetryingSocketChannel.java
@@ -3,9 +3,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.IoRegistration;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A TCP connection that survives a read or write that fails for a moment. Netty closes the channel after any error of a
@@ -17,12 +20,32 @@
     /** The number of interrupted calls (EINTR) after which the next one is left to the next run of the selector. */
     private static final int MAX_INTERRUPTED_CALLS = 16;
 
+    /**
+     * Interval at which a channel is read that the selector has not reported yet, in milliseconds; below the shortest
+     * time limits of requests.
+     */
+    private static final long UNREPORTED_READ_INTERVAL_MS = 100;
+
+    private static final long REGISTER_AGAIN_DELAY_MS = 1;
+
     private final SocketCallRetry reads;
     private final SocketCallRetry writes;
 
     /** Since when the connection may have been established, as {@link System#nanoTime}. */
     private final long connectedSinceNs;
 
+    /**
+     * Whether the selector has reported the channel since it was registered for reads. Until then the registration may
+     * have failed, which the Java runtime does not tell: it ignores the errors of {@code epoll_ctl}.
+     */
+    private boolean reported;
+
+    private boolean unreportedReadScheduled;
+    /** Whether the current read was not caused by the selector. */
+    private boolean readingUnreported;
+    /** Whether the last read that was not caused by the selector has found anything. */
+    private boolean foundUnreported;
+
     /** Creates a channel that is not connected. */
     RetryingSocketChannel(SocketFailureListener listener) {
         connectedSinceNs = System.nanoTime();
@@ -50,6 +73,7 @@
 
     @Override
     protected int doReadBytes(ByteBuf buffer) throws Exception {
+        reported |= !readingUnreported;
         int bytes;
         try {
             bytes = readUninterrupted(buffer);
@@ -68,6 +92,7 @@
             throw reads.lastFailure();
         }
         reads.succeeded();
+        foundUnreported |= readingUnreported && bytes > 0;
         return bytes;
     }
 
@@ -83,7 +108,7 @@
     }
 
     private void resumeReading() {
-        if (config().isAutoRead()) {
+        if (isOpen() && config().isAutoRead()) {
             read();
         }
     }
@@ -92,7 +117,43 @@
     protected void doBeginRead() throws Exception {
         // Null while the constructor of the superclass runs.
         if (reads == null || !reads.isWaiting()) {
+            reported &= isRegisteredForReads();
             super.doBeginRead();
+            scheduleUnreportedRead();
+        }
+    }
+
+    /** Returns whether the channel need not be registered for reads, as after a pause: that may fail. */
+    private boolean isRegisteredForReads() {
+        IoRegistration registration = registration();
+        if (registration == null || !registration.isValid()) {
+            return true;
+        }
+        SelectionKey key = registration.attachment();
+        return (key.interestOps() & SelectionKey.OP_READ) != 0;
+    }
+
+    private void scheduleUnreportedRead() {
+        if (!reported && !unreportedReadScheduled) {
+            unreportedReadScheduled = true;
+            eventLoop().schedule(this::readUnreported, UNREPORTED_READ_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Reads the channel if the selector has not reported it yet; if that finds anything, registers it again. */
+    private void readUnreported() {
+        unreportedReadScheduled = false;
+        if (reported || !isOpen()) {
+            return;
+        }
+        foundUnreported = false;
+        readingUnreported = true;
+        unsafe().read();
+        readingUnreported = false;
+        if (foundUnreported && isOpen()) {
+            // The selector has to run in between, or it would see no change.
+            clearReadPending();
+            eventLoop().schedule(this::resumeReading, REGISTER_AGAIN_DELAY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/test/java/gaugegw/proxy/soak/SoakScenario.java
+++ b/src/test/java/gaugegw/proxy/soak/SoakScenario.java
@@ -66,7 +66,9 @@
             "accept:ENFILE:4",
             "accept:ENOBUFS:3:3",
             "poll:EINTR:4",
-            "epoll_wait:EINTR:20");
+            "epoll_wait:EINTR:20",
+            "epoll_ctl/client:ENOMEM:10",
+            "epoll_ctl/other:ENOSPC:10");
 
     static SoakScenario of(long seed) {
         var random = new SplittableRandom(seed);
--- a/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
+++ b/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
@@ -34,6 +34,7 @@
                 "read/client:ENOBUFS:3",
                 "read/client:EINTR:3",
                 "read/client:EHOSTUNREACH:5:4",
+                "read/client:ENOBUFS:3,epoll_ctl/client:ENOMEM:3",
                 "write/other:ENOBUFS:3",
                 "write/other:ENETUNREACH:5:4",
                 "read/other:ENOBUFS:3",
@@ -44,6 +45,14 @@
         assertThatEveryRequestIsServed(rules, folder);
     }
 
+    /** Guards against a connection that is never read because its registration with the selector fails. */
+    @ParameterizedTest
+    @Timeout(60)
+    @ValueSource(strings = {"epoll_ctl/client:ENOMEM:4", "epoll_ctl/client:ENOSPC:7:2"})
+    void newConnectionIsServedInTimeDespiteFailedRegistrations(String rules, @TempDir Path folder) throws Exception {
+        assertThatNewConnectionsAreServedInTime(rules, folder);
+    }
+
     /** As above, for calls that are interrupted or transfer a part only, and for connections that end unaccepted. */
     @ParameterizedTest
     @Timeout(60)
@@ -73,6 +82,10 @@
     @Timeout(60)
     @ValueSource(strings = {"accept:ENFILE:2", "accept:EMFILE:3:2", "accept:ENOBUFS:4:6", "accept:ENOMEM:2"})
     void newConnectionIsServedInTimeDespiteFailedAccepts(String rules, @TempDir Path folder) throws Exception {
+        assertThatNewConnectionsAreServedInTime(rules, folder);
+    }
+
+    private static void assertThatNewConnectionsAreServedInTime(String rules, Path folder) throws Exception {
         try (var proxy = start(folder, rules)) {
             proxy.backend.respondToAll(ScriptedServer.ok("served"));
             for (int i = 0; i < REQUESTS; i++) {
--- a/src/test/native/failing_socket_calls.c
+++ b/src/test/native/failing_socket_calls.c
@@ -3,7 +3,8 @@
  * made to fail has no effect. Files, pipes and event descriptors are left alone.
  *
  * FAILING_SOCKET_CALLS lists what fails, separated by commas: CALL[/SIDE]:ERROR:INTERVAL[:BURST]
- *   CALL      read, write (each with its vector form), connect, accept, socket, epoll_wait or poll; or
+ *   CALL      read, write (each with its vector form), connect, accept, socket, epoll_wait, poll or epoll_ctl (its
+ *             additions); or
  *             end: a read at the end of the stream, as if the end had been found by an error that is reported once
  *   SIDE      client: connections that were accepted; other: all others; both if there is none
  *   ERROR     a name of errno.h that is in the table below, or SHORT: at most SHORT_BYTES are read or written
@@ -55,7 +56,7 @@
     {"ENOMEM", ENOMEM},       {"ENFILE", ENFILE},             {"EMFILE", EMFILE},
     {"ETIMEDOUT", ETIMEDOUT}, {"EHOSTUNREACH", EHOSTUNREACH}, {"ENETUNREACH", ENETUNREACH},
     {"ENETDOWN", ENETDOWN},   {"ECONNABORTED", ECONNABORTED}, {"EADDRNOTAVAIL", EADDRNOTAVAIL},
-    {"EPROTO", EPROTO},       {"EPERM", EPERM},               {"ECONNRESET", ECONNRESET},
+    {"ENOSPC", ENOSPC},       {"EPROTO", EPROTO},       {"EPERM", EPERM},               {"ECONNRESET", ECONNRESET},
     {"EPIPE", EPIPE},         {"ECONNREFUSED", ECONNREFUSED}, {"SHORT", SHORT_TRANSFER},
 };
 
@@ -286,3 +287,8 @@
     int failure = failure_of("poll", -1);
     return failure > 0 ? fail(failure) : REAL(poll)(polled, count, timeout);
 }
+
+int epoll_ctl(int epoll, int operation, int fd, struct epoll_event *event) {
+    int failure = operation == EPOLL_CTL_ADD ? transfer_failure("epoll_ctl", fd) : NO_FAILURE;
+    return failure > 0 ? fail(failure) : REAL(epoll_ctl)(epoll, operation, fd, event);
+}
