Evict lingering clients first, and read a client before it is evicted

Seen in ExpensiveRequestTest: with 400 clients that reconnect after each rejection, lingering connections counted towards the limit from which on responses close their connections, so proper clients were told to reconnect; and a client whose first request waited unread for 20 ms could be evicted with it.

Change: lingering connections have a queue of their own, are evicted first, after 0.1 s, and don't count. A client is read before it is evicted: a request makes it busy.

--- a/src/main/java/gaugegw/proxy/client/ClosingSequence.java
+++ b/src/main/java/gaugegw/proxy/client/ClosingSequence.java
@@ -143,7 +143,7 @@
     private void linger(SocketChannel socket) {
         state = State.LINGERING;
         lingeringSinceUs = clock.nowUs();
-        limiter.clientIdle(socket);
+        limiter.clientLingering(socket);
         socket.shutdownOutput();
     }
 
--- a/src/main/java/gaugegw/proxy/transport/ConnectionLimiter.java
+++ b/src/main/java/gaugegw/proxy/transport/ConnectionLimiter.java
@@ -18,6 +18,8 @@
 public final class ConnectionLimiter {
     /** A new client connection is not evicted for this long: its first request may be on the way and would fail. */
     private static final long FIRST_REQUEST_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** A lingering connection is not evicted for this long: its client may not have read its last response yet. */
+    private static final long LINGER_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Above this percentage of the limit on client connections, each is closed after its next response. */
     private static final int NEAR_CLIENT_LIMIT_PERCENT = 75;
 
@@ -26,6 +28,8 @@
     private final EvictionQueue idleBackends = new EvictionQueue(0);
     /** Client connections on which no complete request has been received yet. */
     private final EvictionQueue newClients = new EvictionQueue(FIRST_REQUEST_GRACE_NS);
+    /** Client connections that have their last response; they stay open only so that the client can read it. */
+    private final EvictionQueue lingeringClients = new EvictionQueue(LINGER_GRACE_NS);
     /** Client connections on which no complete request has been received since the last response. */
     private final EvictionQueue idleClients = new EvictionQueue(0);
 
@@ -71,6 +75,16 @@
         assert loop.inEventLoop();
         newClients.remove(channel);
         idleClients.remove(channel);
+        lingeringClients.remove(channel);
+    }
+
+    /** Marks a client connection as lingering: its client has the last response, and it may be evicted soon. */
+    public void clientLingering(Channel channel) {
+        clientBusy(channel);
+        if (channel.isOpen()) {
+            lingeringClients.add(channel);
+            scheduleEviction();
+        }
     }
 
     /** Marks a client connection as idle: it has no request in flight and may be evicted. */
@@ -85,11 +99,12 @@
     /**
      * Returns whether client connections should be closed after their next response, because there are almost too many.
      * A response announces that close, so the client sends no further request on the connection. An eviction is not
-     * announced, and may close a connection on which a request is on the way. Connections without a request do not
-     * count: they can be evicted instead.
+     * announced, and may close a connection on which a request is on the way. Connections without a request and
+     * lingering ones do not count: they can be evicted instead.
      */
     public boolean isNearClientLimit() {
-        return clients - newClients.size() > budget.maxClients() * NEAR_CLIENT_LIMIT_PERCENT / 100;
+        return clients - newClients.size() - lingeringClients.size()
+                > budget.maxClients() * NEAR_CLIENT_LIMIT_PERCENT / 100;
     }
 
     /** Returns whether a backend connection may be opened; evicts another connection if that is necessary. */
@@ -99,6 +114,7 @@
         return heldDescriptors() < budget.hardConnectionLimit()
                 && (Math.min(clients, budget.maxClients()) + backends < budget.softConnectionLimit()
                         || idleBackends.evictOldest()
+                        || lingeringClients.evictOldest()
                         || newClients.evictOldest()
                         || idleClients.evictOldest());
     }
@@ -182,14 +198,14 @@
     }
 
     /**
-     * Evicts connections until the limits are met or no further connection may be evicted. If there are new clients
+     * Evicts connections until the limits are met or no further connection may be evicted. If new or lingering clients are
      * left then, tries again when they may be evicted too.
      */
     private void evictDownToBudget() {
         evictionScheduled = false;
         while (overBudget()) {
             if (!evictOne()) {
-                evictionScheduled = !newClients.isEmpty();
+                evictionScheduled = !newClients.isEmpty() || !lingeringClients.isEmpty();
                 if (evictionScheduled) {
                     loop.schedule(this::evictDownToBudget, FIRST_REQUEST_GRACE_NS, TimeUnit.NANOSECONDS);
                 }
@@ -205,10 +221,11 @@
     }
 
     /**
-     * Evicts a client that has not sent a request, and only if there is none one that is idle. Clients that connect
+     * Evicts a lingering client, or one that has not sent a request, and only if there is none one that is idle. Clients that connect
      * faster than they may be evicted must not take the place of those that send requests; they wait in the backlog.
      */
     private boolean evictClient() {
-        return newClients.isEmpty() ? idleClients.evictOldest() : newClients.evictOldest();
+        return lingeringClients.evictOldest()
+                || (newClients.isEmpty() ? idleClients.evictOldest() : newClients.evictOldest());
     }
 }
--- a/src/main/java/gaugegw/proxy/transport/EvictionQueue.java
+++ b/src/main/java/gaugegw/proxy/transport/EvictionQueue.java
@@ -1,7 +1,6 @@
 package gaugegw.proxy.transport;
 
 import io.netty.channel.Channel;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -41,18 +40,23 @@
         return addedAtNs.isEmpty();
     }
 
-    /** Closes the connection that was added first, if it has the minimum age; returns whether one was closed. */
+    /**
+     * Closes the connection that was added first, if it has the minimum age; returns whether one was closed. Reads it
+     * before: a connection with a request that waits unread is busy then and no longer in the queue.
+     */
     boolean evictOldest() {
-        Iterator<Map.Entry<Channel, Long>> entries = addedAtNs.entrySet().iterator();
-        if (!entries.hasNext()) {
-            return false;
-        }
-        Map.Entry<Channel, Long> oldest = entries.next();
-        if (System.nanoTime() - oldest.getValue() < minAgeNs) {
-            return false;
+        while (!addedAtNs.isEmpty()) {
+            Map.Entry<Channel, Long> oldest = addedAtNs.entrySet().iterator().next();
+            Channel channel = oldest.getKey();
+            if (System.nanoTime() - oldest.getValue() < minAgeNs) {
+                return false;
+            }
+            Transport.readNow(channel);
+            if (addedAtNs.remove(channel) != null) {
+                channel.close();
+                return true;
+            }
         }
-        entries.remove();
-        oldest.getKey().close();
-        return true;
+        return false;
     }
 }
--- a/src/test/java/gaugegw/proxy/transport/ConnectionLimiterTest.java
+++ b/src/test/java/gaugegw/proxy/transport/ConnectionLimiterTest.java
@@ -88,6 +88,14 @@
         assertThat(limiter.isNearClientLimit()).isFalse();
     }
 
+    /** Guards against clients that are told to reconnect because of connections that have their last response. */
+    @Test
+    void lingeringClientsDoNotCountTowardsTheLimit() {
+        connectClients(SocketTransport.MAX_ACCEPTS_PER_ITERATION);
+        clients.forEach(limiter::clientLingering);
+        assertThat(limiter.isNearClientLimit()).isFalse();
+    }
+
     /** The limit holds for clients that send requests: idle ones are evicted where there are no others. */
     @Test
     void idleClientsAreEvictedIfAllClientsHaveSentRequests() {
