--- a/src/main/java/gaugegw/proxy/transport/BacklogWait.java
+++ b/src/main/java/gaugegw/proxy/transport/BacklogWait.java
@@ -13,7 +13,7 @@
      * Upper bound of the estimate, in nanoseconds. Where clients connect all the time, the backlog may be empty for a
      * moment that is not seen, and a longer estimate would leave no time for requests that have waited only briefly.
      */
-    private static final long MAX_WAIT_NS = TimeUnit.MILLISECONDS.toNanos(150);
+    private static final long MAX_WAIT_NS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final LongSupplier nanoTime;
     private boolean emptyBefore = true;
