--- a/src/test/java/gaugegw/proxy/soak/SoakRun.java
+++ b/src/test/java/gaugegw/proxy/soak/SoakRun.java
@@ -22,7 +22,7 @@
     private final SoakScenario scenario;
     private final Path folder;
     private final SoakLedger ledger = new SoakLedger();
-    private final List<RawConnection> crowd = new ArrayList<>();
+    private final List<RawConnection> silentClients = new ArrayList<>();
     private volatile boolean faultsActive;
     private volatile boolean mayConnect = true;
     private volatile boolean mayStartRequest = true;
@@ -76,7 +76,7 @@
             ScriptedServer.await(() -> RawConnection.isReady(port));
             readyAtNs = System.nanoTime();
             List<Thread> clients = startClients(port);
-            connectCrowd(port);
+            connectSilentClients(port);
             var events = new SoakEvents();
             events.add(scenario.faultsFromMs(), () -> setFaults(failures, true));
             events.add(scenario.faultsUntilMs(), () -> setFaults(failures, false));
@@ -102,8 +102,8 @@
                     ledger.summary() + ", " + end + ", stalled " + stalls.longestMs() + " ms",
                     proxy.log());
         } finally {
-            for (RawConnection member : crowd) {
-                member.close();
+            for (RawConnection client : silentClients) {
+                client.close();
             }
         }
     }
@@ -152,10 +152,10 @@
         return threads;
     }
 
-    private void connectCrowd(int port) {
-        for (int i = 0; i < scenario.crowd(); i++) {
+    private void connectSilentClients(int port) {
+        for (int i = 0; i < scenario.silentClients(); i++) {
             try {
-                crowd.add(RawConnection.connectTo(port));
+                silentClients.add(RawConnection.connectTo(port));
             } catch (IOException e) {
                 // The proxy accepts no more connections for now.
                 return;
--- a/src/test/java/gaugegw/proxy/soak/SoakScenario.java
+++ b/src/test/java/gaugegw/proxy/soak/SoakScenario.java
@@ -15,7 +15,7 @@
  * @param reloadsAtMs when SIGHUP is sent, each time with the other address of discovery
  * @param pausesAtMs when the process is stopped for {@link #PAUSE_MS}
  * @param terminateAtMs when SIGTERM is sent, and again shortly after
- * @param crowd the number of clients that connect, send nothing and stay
+ * @param silentClients the number of clients that connect, send nothing and stay
  * @param localAgent whether discovery is an agent that pushes updates
  * @param discoverySilent whether discovery does not answer during the faults
  * @param hangingShare the share of attempts that a backend never answers, during the faults
@@ -31,7 +31,7 @@
         List<Long> reloadsAtMs,
         List<Long> pausesAtMs,
         long terminateAtMs,
-        int crowd,
+        int silentClients,
         boolean localAgent,
         boolean discoverySilent,
         double hangingShare,
--- a/src/test/java/gaugegw/proxy/soak/SoakTest.java
+++ b/src/test/java/gaugegw/proxy/soak/SoakTest.java
@@ -21,7 +21,7 @@
     @ParameterizedTest
     @Timeout(60)
     @ValueSource(longs = {3, 6, 8})
-    void keepsItsRulesBesideACrowd(long seed, @TempDir Path folder) throws Exception {
+    void keepsItsRulesBesideSilentClients(long seed, @TempDir Path folder) throws Exception {
         assertThatRulesAreKept(seed, folder);
     }
 
