--- a/src/main/java/gaugegw/balancer/DuplicateExecutionGuard.java
+++ b/src/main/java/gaugegw/balancer/DuplicateExecutionGuard.java
@@ -1,6 +1,5 @@
 package gaugegw.balancer;
 
-import gaugegw.balancer.api.AttemptOutcome;
 import gaugegw.balancer.api.BalancerSettings;
 import gaugegw.balancer.api.DeduplicationScope;
 import gaugegw.balancer.api.Endpoint;
@@ -38,15 +37,9 @@
                 || request.attempts().stream().noneMatch(this::mayHaveExecuted);
     }
 
-    /**
-     * Returns whether the endpoint may have executed an attempt. A rejection proves that it has not, unless endpoints
-     * may reject requests that they have already begun to execute.
-     */
+    /** Returns whether the endpoint may have executed an attempt, or may yet. */
     private boolean mayHaveExecuted(AttemptRecord attempt) {
-        return attempt.isInFlight()
-                || !attempt.outcome().provesNotExecuted()
-                || (attempt.outcome() == AttemptOutcome.REJECTED
-                        && settings.safetyLimits().rejectedMayHaveExecuted());
+        return attempt.isInFlight() || settings.safetyLimits().mayHaveExecuted(attempt.outcome());
     }
 
     /**
--- a/src/main/java/gaugegw/balancer/api/SafetyLimits.java
+++ b/src/main/java/gaugegw/balancer/api/SafetyLimits.java
@@ -43,4 +43,12 @@
                 pollIntervalUs > 0,
                 "setting 'invariants.must_ask_in_us': " + pollIntervalUs + ", must be greater than 0");
     }
+
+    /**
+     * Returns whether the endpoint may have executed an attempt that has ended. A rejection proves that it has not,
+     * unless endpoints may reject requests that they have already begun to execute.
+     */
+    public boolean mayHaveExecuted(AttemptOutcome outcome) {
+        return !outcome.provesNotExecuted() || (outcome == AttemptOutcome.REJECTED && rejectedMayHaveExecuted);
+    }
 }
--- a/src/main/java/gaugegw/proxy/dispatch/ExecutedRequestIds.java
+++ b/src/main/java/gaugegw/proxy/dispatch/ExecutedRequestIds.java
@@ -4,6 +4,7 @@
 import gaugegw.balancer.api.BalancerSettings;
 import gaugegw.balancer.api.Idempotency;
 import gaugegw.balancer.api.RequestClass;
+import gaugegw.balancer.api.SafetyLimits;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -21,7 +22,7 @@
     private static final int MAX_CHARACTERS = 256 * 1_024;
 
     private final Set<String> nonIdempotentClasses;
-    private final boolean rejectedMayHaveExecuted;
+    private final SafetyLimits safetyLimits;
     /** The ids, in the order in which they were added. */
     private final Set<String> ids = new LinkedHashSet<>();
 
@@ -32,7 +33,7 @@
                 .filter(requestClass -> requestClass.idempotency() == Idempotency.NOT_IDEMPOTENT)
                 .map(RequestClass::name)
                 .collect(Collectors.toUnmodifiableSet());
-        rejectedMayHaveExecuted = settings.safetyLimits().rejectedMayHaveExecuted();
+        safetyLimits = settings.safetyLimits();
     }
 
     boolean contains(String id) {
@@ -41,9 +42,9 @@
 
     /** Adds the id of a request whose attempt has ended, unless the request may be executed again. */
     void attemptEnded(DispatchedRequest request, AttemptOutcome outcome) {
-        boolean mayHaveExecuted =
-                !outcome.provesNotExecuted() || (outcome == AttemptOutcome.REJECTED && rejectedMayHaveExecuted);
-        if (mayHaveExecuted && nonIdempotentClasses.contains(request.requestClass()) && ids.add(request.id())) {
+        if (safetyLimits.mayHaveExecuted(outcome)
+                && nonIdempotentClasses.contains(request.requestClass())
+                && ids.add(request.id())) {
             characters += request.id().length();
             removeOldest();
         }
