Prepare the acquisition of a backend connection in the pool

A new attempt and one that connects again each asked for an idle connection or room for a new one. Two comments of ConnectionLimiter are wrapped.

--- a/src/main/java/gaugegw/proxy/transport/ConnectionLimiter.java
+++ b/src/main/java/gaugegw/proxy/transport/ConnectionLimiter.java
@@ -198,8 +198,8 @@
     }
 
     /**
-     * Evicts connections until the limits are met or no further connection may be evicted. If new or lingering clients are
-     * left then, tries again when they may be evicted too.
+     * Evicts connections until the limits are met or no further connection may be evicted. If new or lingering clients
+     * are left then, tries again when they may be evicted too.
      */
     private void evictDownToBudget() {
         evictionScheduled = false;
@@ -221,8 +221,9 @@
     }
 
     /**
-     * Evicts a lingering client, or one that has not sent a request, and only if there is none one that is idle. Clients that connect
-     * faster than they may be evicted must not take the place of those that send requests; they wait in the backlog.
+     * Evicts a lingering client, or one that has not sent a request, and only if there is none one that is idle. Clients
+     * that connect faster than they may be evicted must not take the place of those that send requests; they wait in the
+     * backlog.
      */
     private boolean evictClient() {
         return lingeringClients.evictOldest()
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamAttempt.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamAttempt.java
@@ -3,7 +3,6 @@
 import gaugegw.balancer.api.AttemptOutcome;
 import gaugegw.proxy.http.ProtocolHeaders;
 import gaugegw.proxy.transport.Clock;
-import gaugegw.proxy.transport.ConnectionLimiter;
 import gaugegw.proxy.transport.SocketErrors;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -44,7 +43,6 @@
 
     private final Clock clock;
     private final EventLoop loop;
-    private final ConnectionLimiter limiter;
     private final UpstreamEndpoint endpoint;
     private final UpstreamRequest request;
     private final long timeoutUs;
@@ -74,7 +72,6 @@
             AttemptListener listener) {
         this.clock = context.clock();
         this.loop = context.loop();
-        this.limiter = context.limiter();
         this.endpoint = endpoint;
         this.request = request;
         this.timeoutUs = timeoutUs;
@@ -178,7 +175,7 @@
         if (isEnded()) {
             return;
         }
-        if (endpoint.pool().reserveIdle() || limiter.makeRoomForBackend()) {
+        if (endpoint.pool().prepareAcquire()) {
             acquire();
         } else {
             complete(AttemptOutcome.NOT_SENT, null);
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamClient.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamClient.java
@@ -161,7 +161,7 @@
         if (endpoint == null || !endpoint.isReady()) {
             return null;
         }
-        if (!endpoint.pool().reserveIdle() && !context.limiter().makeRoomForBackend()) {
+        if (!endpoint.pool().prepareAcquire()) {
             return null;
         }
         return new UpstreamAttempt(context, endpoint, request, timeoutUs, beforeWrite, listener);
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
@@ -38,13 +38,21 @@
         return context.bootstrap().clone().remoteAddress(context.transport().toSocketAddress(endpoint.address()));
     }
 
+    /**
+     * Prepares an acquisition in the current task of the event loop: reserves an idle connection or, if there is none,
+     * makes room for a new one. Returns whether a connection can be acquired.
+     */
+    boolean prepareAcquire() {
+        return reserveIdle() || context.limiter().makeRoomForBackend();
+    }
+
     /**
      * Reserves an idle connection for an attempt that is started in the current task of the event loop. First closes
      * the connections that have been idle for longer than {@link LearnedIdleLimit} allows.
      *
      * @return whether a connection was reserved; if not, the attempt needs a new connection
      */
-    boolean reserveIdle() {
+    private boolean reserveIdle() {
         long nowUs = context.clock().nowUs();
         while (!idle.isEmpty() && exceedsIdleLimit(idle.getFirst(), nowUs)) {
             idle.removeFirst().close();
