--- a/review/standins-2/Case8.java
+++ b/review/standins-2/Case8.java
@@ -1,18 +1,15 @@
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Bad clients send nothing but empty lines, up to 60 MB each, as fast as the proxy reads them, and connect again when
- * they get their error or close. Sound clients send small requests.
+ * Sound clients send a body in many small chunks, while bad clients send bodies in chunks of one byte, stop in the
+ * middle and stay.
  */
 public final class Case8 {
-    private static final int BAD_CLIENTS = 300;
-    private static final long BAD_BYTES = 60_000_000;
-    private static final int CLIENTS = 4;
-    private static final int REQUESTS = 8;
-    private static final int TIMEOUT_MS = 640;
+    private static final int BAD_CLIENTS = 50;
+    private static final int REQUESTS = 12;
+    private static final int BODY_BYTES = 60_000;
+    private static final int CHUNK_BYTES = 100;
+    private static final int TIMEOUT_MS = 1_200;
     /** An answer that comes later than this after the last byte of the request is lost. */
     private static final int LOST_AFTER_MS = TIMEOUT_MS + 500 + 50;
 
@@ -34,75 +31,60 @@
             }
             lab.log("%d bad clients from now on", BAD_CLIENTS);
         }
-        Lab.sleep(2_000);
-        var lost = new AtomicInteger();
-        var served = new AtomicInteger();
-        var other = new AtomicInteger();
-        var done = new CountDownLatch(CLIENTS);
-        for (int i = 0; i < CLIENTS; i++) {
-            int number = i;
-            Lab.background(() -> {
-                for (int k = 0; k < REQUESTS; k++) {
-                    request(lab, port, "c" + number + "-" + k, lost, served, other);
-                }
-                done.countDown();
-            });
+        Lab.sleep(1_500);
+        int lost = 0;
+        int served = 0;
+        int other = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            String id = "r" + i;
+            try (var connection = Lab.Connection.to(port)) {
+                connection.socket.setSoTimeout(15_000);
+                connection.send(Lab.postHead(id, "subir", "a" + i, TIMEOUT_MS) + "Transfer-Encoding: chunked\r\n\r\n"
+                        + chunks());
+                double sentAtMs = lab.ms();
+                String what = answer(connection);
+                double tookMs = lab.ms() - sentAtMs;
+                boolean late = what.equals("nothing") || tookMs > LOST_AFTER_MS;
+                lost += late ? 1 : 0;
+                served += !late && what.contains(" 200 ") ? 1 : 0;
+                other += !late && !what.contains(" 200 ") ? 1 : 0;
+                lab.log("%s%s was answered by %s, %.0f ms after its last byte", late ? "LOST: " : "", id, what, tookMs);
+            }
         }
-        done.await();
         lab.finish(
-                lost.get() > 0 ? 1 : 0,
+                lost > 0 ? 1 : 0,
                 "of %d requests %d got no answer within %d ms of their last byte, %d were served, %d refused or failed",
-                CLIENTS * REQUESTS,
-                lost.get(),
+                REQUESTS,
+                lost,
                 LOST_AFTER_MS,
-                served.get(),
-                other.get());
+                served,
+                other);
     }
 
-    /** Sends a request on a new connection; one that the proxy closes unread is not counted. */
-    private static void request(
-            Lab lab, int port, String id, AtomicInteger lost, AtomicInteger served, AtomicInteger other) {
-        double sentAtMs = Double.NaN;
-        String what = "nothing";
-        try (var connection = Lab.Connection.to(port)) {
-            connection.socket.setSoTimeout(10_000);
-            connection.send(Lab.get(id, "escuchar", "a" + id, TIMEOUT_MS));
-            sentAtMs = lab.ms();
+    private static String answer(Lab.Connection connection) {
+        try {
             Lab.Message answer = connection.read();
-            if (answer == null) {
-                lab.log("%s was closed with no answer; not counted", id);
-                return;
-            }
-            what = answer.firstLine();
-        } catch (java.net.SocketTimeoutException e) {
-            // There was no answer.
+            return answer == null ? "nothing" : answer.firstLine();
         } catch (IOException e) {
-            lab.log("%s was reset with no answer; not counted", id);
-            return;
+            return "nothing";
         }
-        double tookMs = lab.ms() - sentAtMs;
-        if (tookMs > LOST_AFTER_MS) {
-            lost.incrementAndGet();
-        } else if (what.contains(" 200 ")) {
-            served.incrementAndGet();
-        } else {
-            other.incrementAndGet();
-        }
-        lab.log(
-                "%s%s was answered by %s, %.0f ms after its last byte",
-                tookMs > LOST_AFTER_MS ? "LOST: " : "", id, what, tookMs);
     }
 
-    private static void badClient(int port) {
-        byte[] lines = "\r\n".repeat(32_768).getBytes(StandardCharsets.ISO_8859_1);
+    private static String chunks() {
+        String chunk = Integer.toHexString(CHUNK_BYTES) + "\r\n" + "b".repeat(CHUNK_BYTES) + "\r\n";
+        return chunk.repeat(BODY_BYTES / CHUNK_BYTES) + "0\r\n\r\n";
+    }
+
+    /** Sends a request without an id and without its end, and stays until the proxy answers or closes. */
+    private static void badClient(int port) throws IOException {
+        String request = "POST /api?k=a HTTP/1.1\r\nHost: service.internal\r\nX-Priority-Class: subir\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(BODY_BYTES);
         while (true) {
             try (var connection = Lab.Connection.to(port)) {
-                for (long sent = 0; sent < BAD_BYTES; sent += lines.length) {
-                    connection.socket.getOutputStream().write(lines);
-                }
+                connection.send(request);
                 connection.read();
             } catch (IOException e) {
-                // The proxy has closed the connection, or its backlog is full.
+                // The proxy has closed the connection while the request was being sent.
             }
         }
     }
