--- a/review/standins-2/Case8.java
+++ b/review/standins-2/Case8.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 
 /**
  * Sound clients send a body in many small chunks, while bad clients send bodies in chunks of one byte, stop in the
@@ -44,6 +45,10 @@
                 double sentAtMs = lab.ms();
                 String what = answer(connection);
                 double tookMs = lab.ms() - sentAtMs;
+                if (what == null) {
+                    lab.log("%s was closed with no answer after %.0f ms; not counted", id, tookMs);
+                    continue;
+                }
                 boolean late = what.equals("nothing") || tookMs > LOST_AFTER_MS;
                 lost += late ? 1 : 0;
                 served += !late && what.contains(" 200 ") ? 1 : 0;
@@ -61,12 +66,15 @@
                 other);
     }
 
+    /** Returns the status line of the answer, "nothing" if none has come, or null if the proxy has closed. */
     private static String answer(Lab.Connection connection) {
         try {
             Lab.Message answer = connection.read();
-            return answer == null ? "nothing" : answer.firstLine();
-        } catch (IOException e) {
+            return answer == null ? null : answer.firstLine();
+        } catch (SocketTimeoutException e) {
             return "nothing";
+        } catch (IOException e) {
+            return null;
         }
     }
 
--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -9,7 +9,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -31,6 +30,9 @@
     /** False for TROUBLE=0, the run without the disruption. */
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
+    /** A case that has not ended by then is given up. */
+    private static final long LONGEST_MS = 110_000;
+
     private final PrintWriter record;
     private final long startNs = System.nanoTime();
     private final List<Closeable> open = new CopyOnWriteArrayList<>();
@@ -50,6 +52,10 @@
     /** Plays a case whose folder is the first argument; an unexpected exception means that it couldn't run. */
     static void run(String[] args, Case played) throws IOException {
         var lab = new Lab(args[0]);
+        background(() -> {
+            sleep(LONGEST_MS);
+            lab.finish(2, "the case did not end within %d ms", LONGEST_MS);
+        });
         try {
             played.play(lab);
             lab.finish(2, "the case ended without a verdict");
