Reject request targets with bytes outside ASCII

Header values and bodies are not altered; a new test for all bytes from 80 to FF passed before.

Change: such a target is answered 400 as soon as its head has been read, and the connection is closed, also for the readiness path. RFC 3986 does not allow these bytes in a target, and the platform owes an improper request an error and forbids serving it; so it isn't passed on unchanged either.

--- a/src/main/java/gaugegw/proxy/client/RequestAggregator.java
+++ b/src/main/java/gaugegw/proxy/client/RequestAggregator.java
@@ -32,6 +32,8 @@
  * {@link BodyBuffer}. Trailers are dropped. Owns the incomplete request. Used on the event loop only.
  */
 final class RequestAggregator extends SimpleChannelInboundHandler<HttpObject> {
+    private static final char LAST_ASCII_CHARACTER = 0x7f;
+
     private final ClientConnection connection;
     private final ChannelPipeline pipeline;
     private final BodyBuffer body = new BodyBuffer(HttpLimits.MAX_BODY_BYTES);
@@ -155,6 +157,10 @@
         if (head.decoderResult().isFailure()) {
             return PlainTextResponse.badRequest("malformed request");
         }
+        if (!isAscii(head.uri())) {
+            return PlainTextResponse.badRequest(
+                    "the request target contains bytes outside ASCII, which must be percent-encoded");
+        }
         if (hasUnsupportedCoding(head)) {
             return PlainTextResponse.badRequest("unsupported transfer coding");
         }
@@ -173,6 +179,20 @@
                 "the body is longer than " + HttpLimits.MAX_BODY_BYTES / 1024 + " KiB");
     }
 
+    /**
+     * Returns whether a request target consists of ASCII characters, as RFC 3986, section 2, requires. Netty's decoder
+     * reads a target as ISO-8859-1 and its encoder writes it as UTF-8, so any other target would reach the backend as
+     * another one.
+     */
+    private static boolean isAscii(String target) {
+        for (int i = 0; i < target.length(); i++) {
+            if (target.charAt(i) > LAST_ASCII_CHARACTER) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /**
      * Returns whether a request has a transfer coding other than a single {@code chunked} in HTTP/1.1. Netty only looks
      * for {@code chunked} among the codings, and would misjudge where a body with another coding ends.
--- a/src/test/java/gaugegw/proxy/client/RequestForwardingTest.java
+++ b/src/test/java/gaugegw/proxy/client/RequestForwardingTest.java
@@ -9,6 +9,8 @@
 import gaugegw.proxy.testing.ScriptedServer;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Forwarding of valid requests to a backend and of responses to the client. */
@@ -43,6 +45,26 @@
         }
     }
 
+    /** Bytes outside ASCII in header values and in the body must not be encoded once more on the way to the backend. */
+    @Test
+    void forwardsBytesOutsideAsciiUnchanged() throws Exception {
+        String bytes =
+                IntStream.rangeClosed(0x80, 0xff).mapToObj(Character::toString).collect(Collectors.joining());
+        // Next line and no-break space, at the ends of the value: they are not white space in HTTP.
+        String id = "\u0085" + bytes + "\u00a0";
+        try (var backend = new ScriptedServer();
+                var proxy = new ProxyFixture(ProxyFixture.singleAttemptTo("s0"), backend);
+                var client = proxy.connectClient()) {
+            BlockingQueue<RawConnection.Message> received = backend.respondToAll(ScriptedServer.ok(bytes));
+            String request = ProxyFixture.post(id, bytes).replace("5c0f", bytes);
+            assertThat(client.send(request).read().body()).isEqualTo(bytes);
+            RawConnection.Message forwarded = ScriptedServer.awaitNext(received);
+            assertThat(forwarded.header("X-Request-ID")).isEqualTo(id);
+            assertThat(forwarded.header("Idempotency-Key")).isEqualTo(bytes);
+            assertThat(forwarded.body()).isEqualTo(bytes);
+        }
+    }
+
     @Test
     void forwardsBodiesOfTheMaximumSize() throws Exception {
         String body = "0123456789abcdef".repeat(4_096);
--- a/src/test/java/gaugegw/proxy/client/RequestValidationTest.java
+++ b/src/test/java/gaugegw/proxy/client/RequestValidationTest.java
@@ -4,8 +4,10 @@
 
 import gaugegw.balancer.api.Event.RequestArrived;
 import gaugegw.proxy.testing.ProxyFixture;
+import gaugegw.proxy.testing.RawConnection;
 import gaugegw.proxy.testing.ScriptedServer;
 import java.util.List;
+import java.util.regex.Matcher;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -125,6 +127,39 @@
         }
     }
 
+    /**
+     * A client writes its key into the target without percent-encoding. Such bytes were encoded once more on the way, so
+     * the backend executed a request that no client had sent.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "/api?k=se\u00c3\u00b1al",
+                "/api?k=se\u00f1al",
+                "/api?\u00c3\u00b1=u1",
+                "/api/\u00c3\u00b1?k=u1",
+                "/api?k=u\u0080",
+                "/api?k=u\u00ff",
+                "/ready?k=\u00c3\u00b1"
+            })
+    void rejectsBytesOutsideAsciiInTheTarget(String target) throws Exception {
+        try (var backend = new ScriptedServer();
+                var proxy = new ProxyFixture(ProxyFixture.singleAttemptTo("s0"), backend)) {
+            backend.respondToAll(ScriptedServer.ok("x"));
+            for (String request : List.of(ProxyFixture.get("r1"), ProxyFixture.post("r2", "body"))) {
+                try (var client = proxy.connectClient()) {
+                    RawConnection.Message response = client.send(
+                                    request.replaceFirst("/api\\S*", Matcher.quoteReplacement(target)))
+                            .read();
+                    assertThat(response.status()).isEqualTo(400);
+                    assertThat(response.body()).contains("percent-encoded");
+                    assertThat(client.awaitClose()).isTrue();
+                }
+            }
+            assertThat(proxy.events).noneMatch(RequestArrived.class::isInstance);
+        }
+    }
+
     /** Without an idempotency key, the backend can't recognize a repeated request. */
     @Test
     void rejectsMissingIdempotencyKey() throws Exception {
