Recognize class and tenant names outside ASCII in request headers

Measured: RequestForwardingTest.recognizesNamesOutsideAscii failed before the change (400 in place of 200) and passes with it.

--- a/src/main/java/gaugegw/proxy/client/ClientRequestParser.java
+++ b/src/main/java/gaugegw/proxy/client/ClientRequestParser.java
@@ -2,6 +2,8 @@
 
 import gaugegw.balancer.api.BalancerSettings;
 import gaugegw.balancer.api.Idempotency;
+import gaugegw.balancer.api.RequestClass;
+import gaugegw.balancer.api.Tenant;
 import gaugegw.proxy.dispatch.ClientRequest;
 import gaugegw.proxy.http.ProtocolHeaders;
 import gaugegw.proxy.upstream.UpstreamRequest;
@@ -10,11 +12,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -37,8 +35,8 @@
      */
     private static final long RESPONSE_MARGIN_DIVISOR = 10;
 
-    private final Map<String, Idempotency> idempotencyByClass = new HashMap<>();
-    private final Set<String> tenants = new HashSet<>();
+    private final HeaderNames<RequestClass> requestClasses;
+    private final HeaderNames<Tenant> tenants;
     private final Predicate<String> isIdInUse;
 
     /**
@@ -47,8 +45,8 @@
      * @param isIdInUse returns whether a request with a given id is in flight or must not be executed again
      */
     ClientRequestParser(BalancerSettings settings, Predicate<String> isIdInUse) {
-        settings.requestClasses().forEach(c -> idempotencyByClass.put(c.name(), c.idempotency()));
-        settings.tenants().forEach(t -> tenants.add(t.name()));
+        this.requestClasses = new HeaderNames<>(settings.requestClasses(), RequestClass::name);
+        this.tenants = new HeaderNames<>(settings.tenants(), Tenant::name);
         this.isIdInUse = isIdInUse;
     }
 
@@ -65,8 +63,8 @@
             throws InvalidRequestException {
         requireApiPath(uri);
         HttpHeaders headers = request.headers();
-        String requestClass = requireHeader(headers, ProtocolHeaders.REQUEST_CLASS);
-        checkRequestClass(request, requestClass);
+        RequestClass requestClass = requireNamed(requestClasses, headers, ProtocolHeaders.REQUEST_CLASS);
+        checkIdempotency(request, requestClass.idempotency());
         String tenant = tenant(headers);
         String requestId = requireHeader(headers, ProtocolHeaders.REQUEST_ID);
         if (isIdInUse.test(requestId)) {
@@ -77,7 +75,7 @@
         long timeoutUs = timeoutUs(requireHeader(headers, ProtocolHeaders.TIMEOUT));
         return new ClientRequest(
                 requestId,
-                requestClass,
+                requestClass.name(),
                 tenant,
                 keys == null ? null : keys.get(0),
                 RETRIED_VALUE.equals(headers.get(ProtocolHeaders.RETRIED)),
@@ -93,14 +91,11 @@
     }
 
     /**
-     * Checks that the settings contain the request class, that the request has the method that its class requires, GET
-     * if the class is idempotent and POST otherwise, and that it has an idempotency key if its class needs one.
+     * Checks that the request has the method that its class requires, GET if the class is idempotent and POST otherwise,
+     * and that it has an idempotency key if its class needs one.
      */
-    private void checkRequestClass(FullHttpRequest request, String requestClass) throws InvalidRequestException {
-        Idempotency idempotency = idempotencyByClass.get(requestClass);
-        if (idempotency == null) {
-            throw badRequest("unknown " + ProtocolHeaders.REQUEST_CLASS);
-        }
+    private static void checkIdempotency(FullHttpRequest request, Idempotency idempotency)
+            throws InvalidRequestException {
         HttpMethod required = idempotency == Idempotency.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
         if (!request.method().equals(required)) {
             throw new InvalidRequestException(
@@ -113,14 +108,19 @@
 
     /** Returns the name of the request's tenant, or null if the settings have no tenants. */
     private String tenant(HttpHeaders headers) throws InvalidRequestException {
-        if (tenants.isEmpty()) {
-            return null;
-        }
-        String tenant = requireHeader(headers, ProtocolHeaders.TENANT);
-        if (!tenants.contains(tenant)) {
-            throw badRequest("unknown " + ProtocolHeaders.TENANT);
+        return tenants.isEmpty()
+                ? null
+                : requireNamed(tenants, headers, ProtocolHeaders.TENANT).name();
+    }
+
+    /** Returns the entry of the settings that a header names. */
+    private static <T> T requireNamed(HeaderNames<T> entries, HttpHeaders headers, String header)
+            throws InvalidRequestException {
+        T named = entries.get(requireHeader(headers, header));
+        if (named == null) {
+            throw badRequest("unknown " + header);
         }
-        return tenant;
+        return named;
     }
 
     private static String requireHeader(HttpHeaders headers, String name) throws InvalidRequestException {
--- a/src/test/java/gaugegw/proxy/client/RequestForwardingTest.java
+++ b/src/test/java/gaugegw/proxy/client/RequestForwardingTest.java
@@ -7,6 +7,7 @@
 import gaugegw.proxy.testing.ProxyFixture;
 import gaugegw.proxy.testing.RawConnection;
 import gaugegw.proxy.testing.ScriptedServer;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Collectors;
@@ -65,6 +66,37 @@
         }
     }
 
+    /**
+     * The settings name a class and a tenant with characters outside ASCII, and a client names them in UTF-8. Its requests
+     * were rejected, because the bytes of its headers were compared as ISO-8859-1.
+     */
+    @Test
+    void recognizesNamesOutsideAscii() throws Exception {
+        String requestClass = "se\u00f1al";
+        String tenant = "caf\u00e9 \u6771\u4eac";
+        try (var backend = new ScriptedServer();
+                var proxy = new ProxyFixture(
+                        ProxyFixture.singleAttemptTo("s0"),
+                        config -> config.replace("\"read\"", '"' + requestClass + '"')
+                                .replace("\"acme\"", '"' + tenant + '"'),
+                        backend);
+                var client = proxy.connectClient()) {
+            backend.respondToAll(ScriptedServer.ok("x"));
+            String request = ProxyFixture.get("r1")
+                    .replace("X-Priority-Class: read", "X-Priority-Class: " + bytesOfUtf8(requestClass))
+                    .replace("acme", bytesOfUtf8(tenant));
+            assertThat(client.send(request).read().status()).isEqualTo(200);
+            RequestArrived arrival = proxy.awaitEvent(RequestArrived.class);
+            assertThat(arrival.requestClass()).isEqualTo(requestClass);
+            assertThat(arrival.tenant()).isEqualTo(tenant);
+        }
+    }
+
+    /** Returns the bytes of a text in UTF-8, as one character per byte. */
+    private static String bytesOfUtf8(String text) {
+        return new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+    }
+
     @Test
     void forwardsBodiesOfTheMaximumSize() throws Exception {
         String body = "0123456789abcdef".repeat(4_096);
