Reuse a connection only 300 ms after a rejection

What callers saw: a backend rejected a request and wrote the same response again 4 ms later; 18 of 1,500 requests that must never run twice ran twice.

Cause: the 10 ms between a response and the reuse of its connection don't catch such a copy. The backend's kernel holds the small second write back until the first is acknowledged, and the proxy's kernel delays the acknowledgement until it sends the next request. The copy arrives right behind that request, is taken for its response, and counts as proof that the request was not executed.

Evidence: a trace of the proxy's system calls. 27.6 ms after the rejection the socket is empty, the next request is written at 27.8 ms, the copy is read at 28.5 ms. So the copy was neither overlooked nor written too late.

Change: after a rejection the delay is 300 ms, longer than an acknowledgement is delayed (200 ms at most) and than the some milliseconds by which a second response may be late.

--- a/src/main/java/gaugegw/proxy/transport/Clock.java
+++ b/src/main/java/gaugegw/proxy/transport/Clock.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
+import java.util.function.LongSupplier;
 
 /**
  * The clock of a proxy: Unix time in microseconds. It reads the system clock once, when it is created, and advances
@@ -13,10 +14,26 @@
     private static final long NANOS_PER_MICRO = 1_000;
 
     private final long startUnixUs = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
-    private final long startNanos = System.nanoTime();
+    private final LongSupplier monotonicNs;
+    private final long startNs;
+
+    /** Creates a clock that advances with {@link System#nanoTime}. */
+    public Clock() {
+        this(System::nanoTime);
+    }
+
+    /**
+     * Creates a clock that starts at the current Unix time.
+     *
+     * @param monotonicNs the source of the time that has passed, in nanoseconds; must never go back
+     */
+    public Clock(LongSupplier monotonicNs) {
+        this.monotonicNs = monotonicNs;
+        this.startNs = monotonicNs.getAsLong();
+    }
 
     /** Returns the current Unix time in microseconds. */
     public long nowUs() {
-        return startUnixUs + (System.nanoTime() - startNanos) / NANOS_PER_MICRO;
+        return startUnixUs + (monotonicNs.getAsLong() - startNs) / NANOS_PER_MICRO;
     }
 }
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
@@ -32,6 +32,14 @@
      * second response directly after the first, the second one has been received by then, and the connection is closed.
      */
     private static final long REUSE_DELAY_US = 10_000;
+    /**
+     * Minimum time between a rejection and the reuse of its connection, in microseconds. A rejection proves that a
+     * request was not executed, so a late copy of it must not be taken for the response to the next request. The
+     * backend's kernel may hold such a copy back until it receives an acknowledgement of the rejection (Nagle's
+     * algorithm, RFC 1122, section 4.2.3.4), which the kernel here delays by up to 200 ms unless it can send it with the
+     * next request. This is longer, by far more than the few milliseconds by which the copy may have been written later.
+     */
+    private static final long REUSE_DELAY_AFTER_REJECTION_US = 300_000;
 
     private final UpstreamContext context;
     private final UpstreamEndpoint endpoint;
@@ -48,6 +56,8 @@
     private boolean receivedUnexpectedResponse;
     /** When the connection became idle, on the proxy's clock in microseconds; 0 before its first attempt has ended. */
     private long idleSinceUs;
+    /** Minimum time for which the connection must be idle before it is reused, in microseconds. */
+    private long reuseDelayUs = REUSE_DELAY_US;
     /** How long the connection was idle before the current attempt, in microseconds; 0 if it was new. */
     private long idleBeforeAttemptUs;
 
@@ -100,7 +110,7 @@
 
     /** Returns whether enough time has passed since the last response for the connection to be reused. */
     boolean hasReuseDelayPassed(long nowUs) {
-        return nowUs - idleSinceUs >= REUSE_DELAY_US;
+        return nowUs - idleSinceUs >= reuseDelayUs;
     }
 
     @Override
@@ -146,12 +156,13 @@
         stallDetector.stop();
         context.idleLimit().record(idleBeforeAttemptUs, false);
         boolean valid = ResponseClassifier.isValid(received, completed.isRequestWritten());
+        AttemptOutcome outcome = ResponseClassifier.classify(received, valid);
         boolean reusable = valid && !receivedUnexpectedResponse && !decoder.hasUndecodedBytes();
+        reuseDelayUs = outcome == AttemptOutcome.REJECTED ? REUSE_DELAY_AFTER_REJECTION_US : REUSE_DELAY_US;
         decoder.resetReceivedBytes();
         // Release the connection before calling the listener: if the listener starts a retry, the limit may not allow
         // another connection for it.
         releaseOrClose(reusable && HttpUtil.isKeepAlive(received));
-        AttemptOutcome outcome = ResponseClassifier.classify(received, valid);
         if (outcome == AttemptOutcome.SUCCESS) {
             completed.complete(outcome, new UpstreamResponse(received.headers(), received.content()));
         } else {
