Acknowledge a response before its connection can be reused

What callers saw: a backend without TCP_NODELAY wrote a copy of its 200 response 4 ms after it, and clients of later requests were served with the response to another request.

The backend's kernel holds the copy back until the response before it is acknowledged; the proxy's kernel acknowledged it with the next request. So the 10 ms before a connection is reused caught no copy that was held back.

Change: when a connection becomes idle, the proxy sets TCP_QUICKACK, which makes the kernel acknowledge at once. A later copy is then not held back, arrives within the 10 ms and closes the connection. If the call isn't supported or fails, nothing changes. The option is created with the transport, since its class loads a library, which takes a descriptor.

Measured: LateResponseCopyTest.responsesAreAcknowledgedBeforeTheirConnectionIsReused failed before the change (the socket was in delayed mode) and passes.

--- a/src/main/java/gaugegw/proxy/transport/SocketTransport.java
+++ b/src/main/java/gaugegw/proxy/transport/SocketTransport.java
@@ -4,12 +4,14 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -18,6 +20,7 @@
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.SimpleFormatter;
+import jdk.net.ExtendedSocketOptions;
 
 /** A transport over TCP sockets. */
 final class SocketTransport implements Transport {
@@ -41,6 +44,10 @@
     /** Number of new connections that the kernel queues, for example while accepting is paused. */
     private static final int LISTEN_BACKLOG = 1_024;
 
+    /** Loads a library when it is first used, which takes a descriptor: here, not when the process has run out of them. */
+    private static final ChannelOption<Boolean> QUICK_ACKNOWLEDGEMENT =
+            NioChannelOption.of(ExtendedSocketOptions.TCP_QUICKACK);
+
     private final EventLoop loop;
     private final ServerBootstrap server;
     private final Bootstrap client;
@@ -117,6 +124,16 @@
         }
     }
 
+    @Override
+    public void acknowledgeReceived(Channel channel) {
+        assert loop.inEventLoop();
+        try {
+            channel.config().setOption(QUICK_ACKNOWLEDGEMENT, true);
+        } catch (ChannelException e) {
+            // The kernel acknowledges later.
+        }
+    }
+
     @Override
     public void setSocketFailureListener(SocketFailureListener listener) {
         failureListener = listener;
--- a/src/main/java/gaugegw/proxy/transport/Transport.java
+++ b/src/main/java/gaugegw/proxy/transport/Transport.java
@@ -70,4 +70,12 @@
      * false, a byte may have been consumed, and the caller must close the connection.
      */
     boolean hasNothingToRead(Channel channel);
+
+    /**
+     * Makes the kernel acknowledge at once what a connection has received, instead of with the next bytes that are
+     * written. The peer's kernel may hold back more bytes until then (Nagle's algorithm). Has an effect on what has been
+     * received so far; if it fails, the acknowledgement is delayed as usual. Does nothing for a channel within the
+     * process.
+     */
+    default void acknowledgeReceived(Channel channel) {}
 }
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
@@ -29,15 +29,16 @@
     private static final long MAX_RESPONSE_BYTES = 2 * HttpLimits.MAX_BODY_BYTES;
     /**
      * Minimum time between a response and the reuse of its connection, in microseconds. If a faulty backend writes a
-     * second response directly after the first, the second one has been received by then, and the connection is closed.
+     * second response directly after the first, the second one has been received by then, and the connection is closed;
+     * see {@link gaugegw.proxy.transport.Transport#acknowledgeReceived}.
      */
     private static final long REUSE_DELAY_US = 10_000;
     /**
      * Minimum time between a rejection and the reuse of its connection, in microseconds. A rejection proves that a
      * request was not executed, so a late copy of it must not be taken for the response to the next request. The
      * backend's kernel may hold such a copy back until it receives an acknowledgement of the rejection (Nagle's
-     * algorithm, RFC 1122, section 4.2.3.4), which the kernel here delays by up to 200 ms unless it can send it with the
-     * next request. This is longer, by far more than the few milliseconds by which the copy may have been written later.
+     * algorithm, RFC 9293, section 3.7.4), which may take 200 ms. This is longer, by far more than the few milliseconds by
+     * which the copy may have been written later.
      */
     private static final long REUSE_DELAY_AFTER_REJECTION_US = 300_000;
 
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
@@ -121,6 +121,8 @@
     protected boolean offerChannel(Channel channel) {
         UpstreamConnectionHandler connection = channel.pipeline().get(UpstreamConnectionHandler.class);
         connection.markIdle();
+        // A second response that the backend's kernel holds back arrives now, and not behind the next request.
+        context.transport().acknowledgeReceived(channel);
         idle.addLast(connection);
         context.limiter().backendIdle(channel);
         return true;
--- a/src/test/java/gaugegw/proxy/upstream/LateResponseCopyTest.java
+++ b/src/test/java/gaugegw/proxy/upstream/LateResponseCopyTest.java
@@ -5,6 +5,10 @@
 import gaugegw.balancer.api.AttemptOutcome;
 import gaugegw.proxy.testing.RawConnection;
 import gaugegw.proxy.testing.ScriptedServer;
+import io.netty.channel.socket.nio.NioChannelOption;
+import java.util.ArrayList;
+import java.util.List;
+import jdk.net.ExtendedSocketOptions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -12,6 +16,9 @@
 /** A faulty backend sends a copy of its response some milliseconds later, on the same connection. */
 class LateResponseCopyTest {
     private static final long BUDGET_BYTES = 1_000_000;
+    /** More than the exchanges in which a kernel acknowledges at once because the connection is new. */
+    private static final int REUSES = 40;
+
     private static final String REJECTION =
             ScriptedServer.response("503 Service Unavailable", "", "X-Not-Processed: 1");
 
@@ -53,6 +60,31 @@
         }
     }
 
+    /**
+     * Guards against clients that are served with the response to another request: the backend's kernel held a copy back
+     * until the response was acknowledged, which happened only with the next request, so no check before it found the copy.
+     */
+    @Test
+    void responsesAreAcknowledgedBeforeTheirConnectionIsReused() throws Exception {
+        var acknowledgesAtOnce = new ArrayList<Boolean>();
+        var transport = new ObservedTransport(idle -> acknowledgesAtOnce.add(
+                idle.config().getOption(NioChannelOption.of(ExtendedSocketOptions.TCP_QUICKACK))));
+        try (var backend = new ScriptedServer();
+                var upstream = new UpstreamClientFixture(BUDGET_BYTES, transport)) {
+            RawConnection connection = acceptAttempt(backend, upstream);
+            for (int i = 0; i < REUSES; i++) {
+                connection.send(ScriptedServer.ok("x"));
+                assertThat(upstream.awaitOutcome()).isEqualTo(AttemptOutcome.SUCCESS);
+                upstream.advanceClockMs(10);
+                upstream.startAttempt(backend.port());
+                connection.read();
+            }
+            assertThat(upstream.onLoop(() -> List.copyOf(acknowledgesAtOnce)))
+                    .hasSize(REUSES)
+                    .doesNotContain(false);
+        }
+    }
+
     /** Starts an attempt and returns the new connection on which its request has been read. */
     private static RawConnection acceptAttempt(ScriptedServer backend, UpstreamClientFixture upstream)
             throws Exception {
--- a/src/test/java/gaugegw/proxy/upstream/UpstreamClientFixture.java
+++ b/src/test/java/gaugegw/proxy/upstream/UpstreamClientFixture.java
@@ -32,7 +32,7 @@
     /** Limits the memory that incomplete responses hold. */
     final MemoryLimiter memory;
 
-    private final Transport transport = Transport.sockets();
+    private final Transport transport;
     private final AtomicLong nowNs = new AtomicLong();
     private final UpstreamClient client;
     private final BlockingQueue<AttemptOutcome> outcomes = new LinkedBlockingQueue<>();
@@ -43,6 +43,12 @@
      * @param budgetBytes the budget for the memory of incomplete messages, on the heap and in direct memory each
      */
     UpstreamClientFixture(long budgetBytes) {
+        this(budgetBytes, Transport.sockets());
+    }
+
+    /** Creates a client without endpoints; see {@link #UpstreamClientFixture(long)}. */
+    UpstreamClientFixture(long budgetBytes, Transport transport) {
+        this.transport = transport;
         var clock = new Clock(nowNs::get);
         memory = new MemoryLimiter(clock::nowUs, new RateLimitedLog(), new MemoryBudget(budgetBytes, budgetBytes));
         var limiter = new ConnectionLimiter(transport.loop(), MAX_DESCRIPTORS);
