--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionHandler.java
@@ -27,20 +27,6 @@
         implements StallDetector.Connection, MemoryHolder {
     /** Maximum size of a response in bytes, with its headers, its chunk framing and the interim responses before it. */
     private static final long MAX_RESPONSE_BYTES = 2 * HttpLimits.MAX_BODY_BYTES;
-    /**
-     * Minimum time between a response and the reuse of its connection, in microseconds. If a faulty backend writes a
-     * second response directly after the first, the second one has been received by then, and the connection is closed;
-     * see {@link gaugegw.proxy.transport.Transport#acknowledgeReceived}.
-     */
-    private static final long REUSE_DELAY_US = 10_000;
-    /**
-     * Minimum time between a rejection and the reuse of its connection, in microseconds. A rejection proves that a
-     * request was not executed, so a late copy of it must not be taken for the response to the next request. The
-     * backend's kernel may hold such a copy back until it receives an acknowledgement of the rejection (Nagle's
-     * algorithm, RFC 9293, section 3.7.4), which may take 200 ms. This is longer, by far more than the few milliseconds by
-     * which the copy may have been written later.
-     */
-    private static final long REUSE_DELAY_AFTER_REJECTION_US = 300_000;
 
     private final UpstreamContext context;
     private final UpstreamEndpoint endpoint;
@@ -49,16 +35,13 @@
     private final ResponseAggregator aggregator;
     private final StallDetector stallDetector;
     private final MemoryAccount memory;
+    private final IdlePeriod idlePeriod = new IdlePeriod();
     /** The attempt that is waiting for a response on this connection; null while there is none. */
     private UpstreamAttempt attempt;
     /** The attempt's response, from when it is decoded to the end of the read; null otherwise. */
     private FullHttpResponse response;
     /** Whether a response was received that no attempt was waiting for. */
     private boolean receivedUnexpectedResponse;
-    /** When the connection became idle, on the proxy's clock in microseconds; 0 before its first attempt has ended. */
-    private long idleSinceUs;
-    /** Minimum time for which the connection must be idle before it is reused, in microseconds. */
-    private long reuseDelayUs = REUSE_DELAY_US;
     /** How long the connection was idle before the current attempt, in microseconds; 0 if it was new. */
     private long idleBeforeAttemptUs;
 
@@ -90,7 +73,7 @@
     /** Assigns an attempt to this connection and writes its request, which the write releases. */
     ChannelFuture writeRequest(UpstreamAttempt next, FullHttpRequest request) {
         attempt = next;
-        idleBeforeAttemptUs = idleSinceUs == 0 ? 0 : context.clock().nowUs() - idleSinceUs;
+        idleBeforeAttemptUs = idlePeriod.durationUs(context.clock().nowUs());
         decoder.resetReceivedBytes();
         ChannelFuture written = channel.writeAndFlush(request);
         if (!written.isDone()) {
@@ -100,18 +83,9 @@
         return written;
     }
 
-    /** Records that the connection is idle from now on. */
-    void markIdle() {
-        idleSinceUs = context.clock().nowUs();
-    }
-
-    long idleSinceUs() {
-        return idleSinceUs;
-    }
-
-    /** Returns whether enough time has passed since the last response for the connection to be reused. */
-    boolean hasReuseDelayPassed(long nowUs) {
-        return nowUs - idleSinceUs >= reuseDelayUs;
+    /** Returns the time since the last response; the pool starts it when the connection becomes idle. */
+    IdlePeriod idlePeriod() {
+        return idlePeriod;
     }
 
     @Override
@@ -159,7 +133,7 @@
         boolean valid = ResponseClassifier.isValid(received, completed.isRequestWritten());
         AttemptOutcome outcome = ResponseClassifier.classify(received, valid);
         boolean reusable = valid && !receivedUnexpectedResponse && !decoder.hasUndecodedBytes();
-        reuseDelayUs = outcome == AttemptOutcome.REJECTED ? REUSE_DELAY_AFTER_REJECTION_US : REUSE_DELAY_US;
+        idlePeriod.responseReceived(outcome);
         decoder.resetReceivedBytes();
         // Release the connection before calling the listener: if the listener starts a retry, the limit may not allow
         // another connection for it.
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
@@ -62,7 +62,7 @@
     }
 
     private boolean exceedsIdleLimit(UpstreamConnectionHandler connection, long nowUs) {
-        return !context.idleLimit().allows(nowUs - connection.idleSinceUs());
+        return !context.idleLimit().allows(connection.idlePeriod().durationUs(nowUs));
     }
 
     /**
@@ -104,7 +104,7 @@
         Iterator<UpstreamConnectionHandler> latestFirst = idle.descendingIterator();
         while (latestFirst.hasNext()) {
             UpstreamConnectionHandler connection = latestFirst.next();
-            if (!connection.hasReuseDelayPassed(nowUs)) {
+            if (!connection.idlePeriod().allowsReuse(nowUs)) {
                 continue;
             }
             // If the event loop was delayed, the socket may hold bytes that the handlers have not received yet.
@@ -120,7 +120,7 @@
     @Override
     protected boolean offerChannel(Channel channel) {
         UpstreamConnectionHandler connection = channel.pipeline().get(UpstreamConnectionHandler.class);
-        connection.markIdle();
+        connection.idlePeriod().start(context.clock().nowUs());
         // A second response that the backend's kernel holds back arrives now, and not behind the next request.
         context.transport().acknowledgeReceived(channel);
         idle.addLast(connection);
--- a/src/test/java/gaugegw/proxy/discovery/DiscoveryCallFailureTest.java
+++ b/src/test/java/gaugegw/proxy/discovery/DiscoveryCallFailureTest.java
@@ -9,19 +9,16 @@
 import gaugegw.balancer.api.UpdateKind;
 import gaugegw.proxy.config.ProxyConfig;
 import gaugegw.proxy.lifecycle.ProxyServer;
+import gaugegw.proxy.testing.DelegatingTransport;
 import gaugegw.proxy.testing.ProxyFixture;
 import gaugegw.proxy.testing.RawConnection;
 import gaugegw.proxy.testing.ScriptedServer;
 import gaugegw.proxy.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFactory;
-import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -164,25 +161,17 @@
     }
 
     /** Replaces the client bootstrap of another transport. */
-    private record TransportWithClient(Transport delegate, Bootstrap clientBootstrap) implements Transport {
-        @Override
-        public EventLoop loop() {
-            return delegate.loop();
-        }
-
-        @Override
-        public ServerBootstrap serverBootstrap() {
-            return delegate.serverBootstrap();
-        }
+    private static final class TransportWithClient extends DelegatingTransport {
+        private final Bootstrap client;
 
-        @Override
-        public SocketAddress toSocketAddress(InetSocketAddress address) {
-            return delegate.toSocketAddress(address);
+        TransportWithClient(Transport delegate, Bootstrap client) {
+            super(delegate);
+            this.client = client;
         }
 
         @Override
-        public boolean hasNothingToRead(Channel channel) {
-            return delegate.hasNothingToRead(channel);
+        public Bootstrap clientBootstrap() {
+            return client;
         }
     }
 }
