Keep connections where the kernel does not know TCP_QUICKACK

Where setsockopt fails with ENOPROTOOPT, the Java runtime throws an UnsupportedOperationException, not an IOException, so Netty passes it on unwrapped; the pool then closed each connection after its response.

Change: that exception is caught and ends the use of the option for the process. The library of failing calls knows setsockopt, for options of TCP.

Measured: FailingSocketCallTest.connectionsAreReusedDespiteFailedOptions failed for ENOPROTOOPT before the change (40 connections for 40 requests) and passed for ENOMEM and EPERM; all three pass with it.

--- a/src/main/java/gaugegw/proxy/transport/SocketTransport.java
+++ b/src/main/java/gaugegw/proxy/transport/SocketTransport.java
@@ -53,6 +53,8 @@
     private final Bootstrap client;
     /** Null until {@link #setSocketFailureListener} is called. */
     private SocketFailureListener failureListener;
+    /** Whether the kernel may know the option; false once it has said that it does not (ENOPROTOOPT). */
+    private boolean quickAcknowledgementSupported = true;
     /** Receives the byte that {@link #hasNothingToRead} may read; its content is ignored. */
     private final ByteBuffer probeBuffer = ByteBuffer.allocateDirect(1);
 
@@ -127,10 +129,15 @@
     @Override
     public void acknowledgeReceived(Channel channel) {
         assert loop.inEventLoop();
+        if (!quickAcknowledgementSupported) {
+            return;
+        }
         try {
             channel.config().setOption(QUICK_ACKNOWLEDGEMENT, true);
         } catch (ChannelException e) {
-            // The kernel acknowledges later.
+            // The kernel acknowledges what this connection has received later.
+        } catch (UnsupportedOperationException e) {
+            quickAcknowledgementSupported = false;
         }
     }
 
--- a/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
+++ b/src/test/java/gaugegw/proxy/transport/FailingSocketCallTest.java
@@ -9,6 +9,7 @@
 import gaugegw.proxy.testing.ScriptedServer;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -97,6 +98,29 @@
         }
     }
 
+    /** Guards against a new connection to the backend for each request where an option of a socket can't be set. */
+    @ParameterizedTest
+    @Timeout(60)
+    @ValueSource(strings = {"setsockopt:ENOPROTOOPT:1", "setsockopt:ENOMEM:1", "setsockopt:EPERM:1"})
+    void connectionsAreReusedDespiteFailedOptions(String rules, @TempDir Path folder) throws Exception {
+        var connections = new AtomicInteger();
+        try (var proxy = start(folder, rules);
+                RawConnection client = RawConnection.connectTo(proxy.port)) {
+            proxy.backend.acceptAll(connection -> {
+                connections.incrementAndGet();
+                while (connection.read() != null) {
+                    connection.send(ScriptedServer.ok("served"));
+                }
+            });
+            for (int i = 0; i < REQUESTS; i++) {
+                assertThat(status(client, "r" + i, LONG_DEADLINE_MS)).isEqualTo(200);
+                // A connection is reused some milliseconds after a response at the earliest.
+                Thread.sleep(20);
+            }
+            assertThat(connections).hasValueLessThan(REQUESTS);
+        }
+    }
+
     /** Guards against a connection that broke, and whose error is reported once, as the end of a complete response. */
     @Test
     @Timeout(60)
--- a/src/test/native/failing_socket_calls.c
+++ b/src/test/native/failing_socket_calls.c
@@ -3,8 +3,8 @@
  * made to fail has no effect. Files, pipes and event descriptors are left alone.
  *
  * FAILING_SOCKET_CALLS lists what fails, separated by commas: CALL[/SIDE]:ERROR:INTERVAL[:BURST]
- *   CALL      read, write (each with its vector form), connect, accept, socket, epoll_wait, poll or epoll_ctl (its
- *             additions); or
+ *   CALL      read, write (each with its vector form), connect, accept, socket, epoll_wait, poll, epoll_ctl (its
+ *             additions) or setsockopt (options of TCP); or
  *             end: a read at the end of the stream, as if the end had been found by an error that is reported once
  *   SIDE      client: connections that were accepted; other: all others; both if there is none
  *   ERROR     a name of errno.h that is in the table below, or SHORT: at most SHORT_BYTES are read or written
@@ -17,6 +17,7 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <stdatomic.h>
 #include <stdint.h>
@@ -58,6 +59,7 @@
     {"ENETDOWN", ENETDOWN},   {"ECONNABORTED", ECONNABORTED}, {"EADDRNOTAVAIL", EADDRNOTAVAIL},
     {"ENOSPC", ENOSPC},       {"EPROTO", EPROTO},       {"EPERM", EPERM},               {"ECONNRESET", ECONNRESET},
     {"EPIPE", EPIPE},         {"ECONNREFUSED", ECONNREFUSED}, {"SHORT", SHORT_TRANSFER},
+    {"ENOPROTOOPT", ENOPROTOOPT},
 };
 
 static void stop(const char *reason) {
@@ -292,3 +294,8 @@
     int failure = operation == EPOLL_CTL_ADD ? transfer_failure("epoll_ctl", fd) : NO_FAILURE;
     return failure > 0 ? fail(failure) : REAL(epoll_ctl)(epoll, operation, fd, event);
 }
+
+int setsockopt(int fd, int level, int name, const void *value, socklen_t length) {
+    int failure = level == IPPROTO_TCP ? failure_of("setsockopt", fd) : NO_FAILURE;
+    return failure > 0 ? fail(failure) : REAL(setsockopt)(fd, level, name, value, length);
+}
