--- a/src/main/java/gaugegw/proxy/transport/Transport.java
+++ b/src/main/java/gaugegw/proxy/transport/Transport.java
@@ -73,7 +73,7 @@
 
     /**
      * Makes the kernel acknowledge at once what a connection has received, instead of with the next bytes that are
-     * written. The peer's kernel may hold back more bytes until then (Nagle's algorithm). Has an effect on what has been
+     * written. The peer's kernel may delay more bytes until then (Nagle's algorithm). Has an effect on what has been
      * received so far; if it fails, the acknowledgement is delayed as usual. Does nothing for a channel within the
      * process.
      */
--- a/src/main/java/gaugegw/proxy/upstream/IdlePeriod.java
+++ b/src/main/java/gaugegw/proxy/upstream/IdlePeriod.java
@@ -16,7 +16,7 @@
     /**
      * Minimum time between a rejection and the reuse of its connection. A rejection proves that a request was not
      * executed, so a late copy of it must not be taken for the response to the next request. The backend's kernel may
-     * hold such a copy back until it receives an acknowledgement of the rejection (Nagle's algorithm, RFC 9293, section
+     * delay such a copy until it receives an acknowledgement of the rejection (Nagle's algorithm, RFC 9293, section
      * 3.7.4), which may take 200 ms. This is longer, by far more than the few milliseconds by which the copy may have
      * been written later.
      */
--- a/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/gaugegw/proxy/upstream/UpstreamConnectionPool.java
@@ -121,7 +121,7 @@
     protected boolean offerChannel(Channel channel) {
         UpstreamConnectionHandler connection = channel.pipeline().get(UpstreamConnectionHandler.class);
         connection.idlePeriod().start(context.clock().nowUs());
-        // A second response that the backend's kernel holds back arrives now, and not behind the next request.
+        // A second response that the backend's kernel delays arrives now, and not right behind the next request.
         context.transport().acknowledgeReceived(channel);
         idle.addLast(connection);
         context.limiter().backendIdle(channel);
