Log how long the proxy itself has suspended reading a request that timed out

Change: RequestDecodeWork, taken out of ClientConnection, keeps the parts decoded and the time suspended of the incomplete request; a request that is not complete in time is logged with both, one line a second at most.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A client's connection: reads its requests, handles them one at a time in the order in which they arrive, and enforces
@@ -39,6 +38,7 @@
     private final RequestArrival arrival;
     private final ClosingSequence closing;
     private final ClientConnectionMemory memory;
+    private final RequestDecodeWork decodeWork;
     /** The exchange whose response is written next; null if no request is being handled. */
     private ClientExchange exchange;
     /** When the channel was last read, on the proxy's clock. */
@@ -46,11 +46,6 @@
     /** When the client connected or, later, when the last exchange ended, on the proxy's clock. */
     private long idleSinceUs;
 
-    /** The number of parts that have been decoded, as {@link RequestAggregator#decodedParts} counts them. */
-    private long decodedParts;
-    /** The number of parts that had been decoded when the last request was complete. */
-    private long partsBeforeRequest;
-
     private boolean hasResponded;
     /** The last error on the connection; null if there was none. */
     private Throwable failure;
@@ -63,6 +58,7 @@
                 context.delayEstimator(), context.clock().nowUs(), Transport.connectedForUs(channel));
         this.closing = new ClosingSequence(channel, context.clock(), context.limiter());
         this.memory = new ClientConnectionMemory(context, this, channel, aggregator, pipelinedRequests);
+        this.decodeWork = new RequestDecodeWork(context, channel, aggregator);
     }
 
     @Override
@@ -87,26 +83,7 @@
         arrival.bytesRead();
         super.channelRead(ctx, message);
         memory.update();
-        limitDecodeWork();
-    }
-
-    /** Suspends reading if the incomplete request is expensive to decode; see {@link DecodeWorkLimiter}. */
-    private void limitDecodeWork() {
-        long partsBeforeRead = decodedParts;
-        decodedParts = aggregator.decodedParts();
-        if (!arrival.isIncomplete()) {
-            partsBeforeRequest = decodedParts;
-            return;
-        }
-        long delayUs = context.decodeWork()
-                .delayUs(
-                        decodedParts - partsBeforeRequest,
-                        decodedParts - partsBeforeRead,
-                        context.clock().nowUs());
-        if (delayUs > 0) {
-            channel.config().setAutoRead(false);
-            channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), delayUs, TimeUnit.MICROSECONDS);
-        }
+        decodeWork.readDecoded(arrival.isIncomplete());
     }
 
     private void countUnservedBytes(int bytes) {
@@ -380,6 +357,11 @@
     private void enforceRequestTimeout(long nowUs) {
         long sinceUs = hasResponded ? arrival.firstByteAtUs() : idleSinceUs;
         if (ClientTimeLimits.isRequestExceeded(nowUs - sinceUs)) {
+            if (decodeWork.hasBeenSuspended()) {
+                context.decodeWorkLog()
+                        .event(() -> "the request of client " + channel.remoteAddress() + " is not complete after "
+                                + (nowUs - sinceUs) / 1_000 + " ms: " + decodeWork.describe());
+            }
             rejectAndClose(PlainTextResponse.of(
                     HttpResponseStatus.REQUEST_TIMEOUT, "the request was not received completely in time"));
         }
--- a/src/main/java/gaugegw/proxy/client/ClientContext.java
+++ b/src/main/java/gaugegw/proxy/client/ClientContext.java
@@ -2,6 +2,7 @@
 
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.logging.SampledLog;
 import gaugegw.proxy.logging.TrafficCounters;
 import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
@@ -22,6 +23,7 @@
  * @param requestParser checks and parses requests
  * @param delayEstimator estimates when a byte that is read now was received
  * @param decodeWork limits the time that goes into decoding expensive requests
+ * @param decodeWorkLog the log of expensive requests that are not complete in time
  * @param connections all open connections
  * @param drainState the steps that a graceful shutdown has reached
  */
@@ -37,5 +39,6 @@
         ClientRequestParser requestParser,
         EventLoopDelayEstimator delayEstimator,
         DecodeWorkLimiter decodeWork,
+        SampledLog decodeWorkLog,
         ClientConnectionRegistry connections,
         DrainState drainState) {}
--- a/src/main/java/gaugegw/proxy/client/Frontend.java
+++ b/src/main/java/gaugegw/proxy/client/Frontend.java
@@ -3,6 +3,7 @@
 import gaugegw.balancer.api.BalancerSettings;
 import gaugegw.proxy.dispatch.RequestDispatcher;
 import gaugegw.proxy.logging.RateLimitedLog;
+import gaugegw.proxy.logging.SampledLog;
 import gaugegw.proxy.logging.TrafficCounters;
 import gaugegw.proxy.memory.MemoryLimiter;
 import gaugegw.proxy.transport.Clock;
@@ -59,6 +60,7 @@
                 new ClientRequestParser(settings, dispatcher::isIdInUse),
                 new EventLoopDelayEstimator(clock),
                 new DecodeWorkLimiter(),
+                new SampledLog(clock::nowUs, log),
                 new ClientConnectionRegistry(),
                 new DrainState(canServe));
     }
