Read expensive requests in the order of their cost, not of their reads

Cause: connections whose request has over 256 parts were read in one queue, a read each. A read of 4 KiB of one-byte chunks has about 680 parts and costs 5.5 ms of the queue's time, one of 100-byte chunks 40 parts. So the cheap request paid for 50 expensive reads with each of its ten reads: about 270 ms.

Change: the next turn is that of the request which will have cost the least once it has been read (DecodeWorkLimiter, no clock and no I/O; DecodeScheduler runs the turns). A request therefore waits only for work up to its own cost. Only the parts beyond the free ones count, and a connection that has received nothing costs no turn. A connection is read on as soon as its request has been given up, so that the client's close is seen.

ExpensiveRequestTest#servesRequestsInManyChunksInTime fails without the change (read timed out after 1.7 s) and passes with it.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -176,7 +176,7 @@
         idleSinceUs = context.clock().nowUs();
         exchange = keepAlive ? pipelinedRequests.poll() : null;
         if (!keepAlive) {
-            aggregator.dropInput();
+            stopDecoding();
             closing.closeAfter(written);
         } else if (exchange != null) {
             exchange.begin();
@@ -212,7 +212,7 @@
         if (!closing.hasFinalError()) {
             closing.deferFinalError(PlainTextResponse.tooManyRequests());
             pipelinedRequests.removeOneFromOverflow();
-            aggregator.dropInput();
+            stopDecoding();
         }
         while (pipelinedRequests.hasOverflow()) {
             channel.write(PlainTextResponse.tooManyRequests());
@@ -249,12 +249,18 @@
             return;
         }
         closing.deferFinalError(error);
-        aggregator.dropInput();
+        stopDecoding();
         if (exchange == null) {
             closing.sendFinalError();
         }
     }
 
+    /** Drops the incomplete request. What the client still sends is read, as a close shows only after it, and dropped. */
+    private void stopDecoding() {
+        aggregator.dropInput();
+        decodeWork.resume();
+    }
+
     // End of the client's output, and disconnect
 
     @Override
@@ -287,6 +293,7 @@
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         context.connections().remove(this);
         memory.close();
+        decodeWork.cancelTurn();
         pipelinedRequests.releaseWaiting();
         closing.releaseFinalError();
         abandonExchange();
--- a/src/main/java/gaugegw/proxy/client/ClientContext.java
+++ b/src/main/java/gaugegw/proxy/client/ClientContext.java
@@ -22,7 +22,7 @@
  *     the settings permit none
  * @param requestParser checks and parses requests
  * @param delayEstimator estimates when a byte that is read now was received
- * @param decodeWork limits the time that goes into decoding expensive requests
+ * @param decodeScheduler runs the reads of expensive requests when their turn has come
  * @param decodeWorkLog the log of expensive requests that are not complete in time
  * @param connections all open connections
  * @param drainState the steps that a graceful shutdown has reached
@@ -38,7 +38,7 @@
         long overloadRetryAfterUs,
         ClientRequestParser requestParser,
         EventLoopDelayEstimator delayEstimator,
-        DecodeWorkLimiter decodeWork,
+        DecodeScheduler decodeScheduler,
         SampledLog decodeWorkLog,
         ClientConnectionRegistry connections,
         DrainState drainState) {}
--- a/src/main/java/gaugegw/proxy/client/DecodeWorkLimiter.java
+++ b/src/main/java/gaugegw/proxy/client/DecodeWorkLimiter.java
@@ -1,12 +1,19 @@
 package gaugegw.proxy.client;
 
+import java.util.Comparator;
+import java.util.TreeSet;
+
 /**
  * Limits the share of the event loop's time that goes into decoding expensive requests: those of very many parts, such as
  * a body in chunks of one byte or a head of very many short lines. Without it, a few hundred of them would keep all other
  * clients waiting. A usual request has far fewer than {@link #FREE_PARTS} and is never delayed. The connections whose
- * request has more share {@link #EXPENSIVE_PERCENT} of the time: after each read, such a connection is not read again
- * before its turn. The work is counted in parts, not in time, so that it does not depend on whether the code is compiled
- * yet. All connections share one limiter. Used on the event loop only.
+ * request has more share {@link #EXPENSIVE_PERCENT} of the time: each waits for its turn, which is one read, and a turn
+ * becomes due when the work of the reads before it has been paid for. The work is counted in parts, not in time, so that
+ * it does not depend on whether the code is compiled yet.
+ *
+ * <p>The next turn is that of the request which will have cost the least once it has been read. So a request never waits
+ * for others to be decoded beyond its own cost, however many they are and however large. Makes the decisions only: no
+ * clock, no I/O. All connections share one limiter. Used on the event loop only.
  */
 final class DecodeWorkLimiter {
     /** Number of header lines and parts of the body after which a request counts as expensive. */
@@ -16,20 +23,62 @@
     /** The share of the time that expensive requests get together. */
     private static final int EXPENSIVE_PERCENT = 25;
 
-    /** When the turns that have been given away end, on the proxy's clock. */
-    private long turnsEndAtUs;
+    private final TreeSet<DecodeTurn> waiting =
+            new TreeSet<>(Comparator.comparingLong(DecodeTurn::expectedParts).thenComparingLong(DecodeTurn::sequence));
+    private long addedTurns;
+    /** When the work that has been done is paid for, on the proxy's clock. */
+    private long nextTurnAtUs;
+
+    /** Returns whether a request of a number of parts may be decoded only in turns. */
+    static boolean isExpensive(long requestParts) {
+        return requestParts > FREE_PARTS;
+    }
 
     /**
-     * Returns how long a connection must not be read after a read, in microseconds; 0 if it may be read at once.
+     * Records the work of a read. Only the parts of a request beyond the free ones delay the next turn.
      *
-     * @param requestParts the number of parts of its incomplete request so far, with those of this read
+     * @param requestParts the number of parts of the incomplete request so far, with those of this read
      * @param readParts the number of parts of this read
+     * @param nowUs the time on the proxy's clock
      */
-    long delayUs(long requestParts, long readParts, long nowUs) {
-        if (requestParts <= FREE_PARTS) {
-            return 0;
+    void readDecoded(long requestParts, long readParts, long nowUs) {
+        if (!isExpensive(requestParts)) {
+            return;
         }
-        turnsEndAtUs = Math.max(turnsEndAtUs, nowUs) + readParts * PART_US * 100 / EXPENSIVE_PERCENT;
-        return turnsEndAtUs - nowUs;
+        long paidParts = Math.min(readParts, requestParts - FREE_PARTS);
+        // A read that has decoded no part yet has cost something, too.
+        long workUs = Math.max(1, paidParts) * PART_US;
+        nextTurnAtUs = Math.max(nextTurnAtUs, nowUs) + workUs * 100 / EXPENSIVE_PERCENT;
+    }
+
+    /**
+     * Adds a connection to those that wait for their turn.
+     *
+     * @param expectedParts the number of parts that its request is expected to have after its next read
+     * @param reader reads the connection when its turn has come
+     */
+    DecodeTurn add(long expectedParts, Runnable reader) {
+        var turn = new DecodeTurn(expectedParts, addedTurns++, reader);
+        waiting.add(turn);
+        return turn;
+    }
+
+    /** Removes a turn that is not needed any more; does nothing if it has been taken. */
+    void remove(DecodeTurn turn) {
+        waiting.remove(turn);
+    }
+
+    boolean hasWaiting() {
+        return !waiting.isEmpty();
+    }
+
+    /** Removes and returns the next turn, or returns null if none is due. */
+    DecodeTurn pollDue(long nowUs) {
+        return nowUs < nextTurnAtUs ? null : waiting.pollFirst();
+    }
+
+    /** Returns the time until a turn is due, in microseconds; 0 if that has been reached. */
+    long untilNextTurnUs(long nowUs) {
+        return Math.max(0, nextTurnAtUs - nowUs);
     }
 }
--- a/src/main/java/gaugegw/proxy/client/Frontend.java
+++ b/src/main/java/gaugegw/proxy/client/Frontend.java
@@ -59,7 +59,7 @@
                 Math.min(OVERLOAD_RETRY_AFTER_US, settings.limits().maxRetryAfterUs()),
                 new ClientRequestParser(settings, dispatcher::isIdInUse),
                 new EventLoopDelayEstimator(clock),
-                new DecodeWorkLimiter(),
+                new DecodeScheduler(clock),
                 new SampledLog(clock::nowUs, log),
                 new ClientConnectionRegistry(),
                 new DrainState(canServe));
--- a/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
+++ b/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
@@ -1,7 +1,7 @@
 package gaugegw.proxy.client;
 
+import gaugegw.proxy.transport.Transport;
 import io.netty.channel.Channel;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The work of decoding the incomplete request of one connection. Suspends reading while the request is expensive to
@@ -16,7 +16,11 @@
     private long decodedParts;
     /** The number of parts that had been decoded when the last request was complete. */
     private long partsBeforeRequest;
-    /** How long reading has been or will be suspended for the incomplete request, in microseconds. */
+    /** The turn for which the connection waits; null if reading is not suspended. */
+    private DecodeTurn turn;
+    /** Since when reading is suspended, on the proxy's clock. */
+    private long suspendedSinceUs;
+    /** How long reading was suspended for the incomplete request, in microseconds, without the current turn. */
     private long suspendedUs;
 
     RequestDecodeWork(ClientContext context, Channel channel, RequestAggregator aggregator) {
@@ -38,26 +42,53 @@
             suspendedUs = 0;
             return;
         }
-        long delayUs = context.decodeWork()
-                .delayUs(
-                        requestParts(),
-                        decodedParts - partsBeforeRead,
-                        context.clock().nowUs());
-        if (delayUs > 0) {
-            suspendedUs += delayUs;
-            channel.config().setAutoRead(false);
-            channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), delayUs, TimeUnit.MICROSECONDS);
+        long readParts = decodedParts - partsBeforeRead;
+        context.decodeScheduler().readDecoded(requestParts(), readParts);
+        if (DecodeWorkLimiter.isExpensive(requestParts())) {
+            suspend(readParts);
+        }
+    }
+
+    /** Waits for the next turn; the read is expected to have as many parts as the last one. */
+    private void suspend(long lastReadParts) {
+        cancelTurn();
+        channel.config().setAutoRead(false);
+        suspendedSinceUs = context.clock().nowUs();
+        turn = context.decodeScheduler().schedule(channel.eventLoop(), requestParts() + lastReadParts, this::takeTurn);
+    }
+
+    /** Reads until {@link #readDecoded} suspends reading again, or until nothing is left. */
+    private void takeTurn() {
+        resume();
+        Transport.readNow(channel);
+    }
+
+    /** Resumes reading without waiting for a turn; to be called when no further request is decoded. */
+    void resume() {
+        if (turn != null) {
+            cancelTurn();
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    /** Gives up the turn; to be called at the latest when the connection is closed. */
+    void cancelTurn() {
+        if (turn != null) {
+            context.decodeScheduler().cancel(turn);
+            turn = null;
+            suspendedUs += context.clock().nowUs() - suspendedSinceUs;
         }
     }
 
     /** Returns whether reading has been suspended for the incomplete request. */
     boolean hasBeenSuspended() {
-        return suspendedUs > 0;
+        return turn != null || suspendedUs > 0;
     }
 
     /** Describes the work in a form for the log. */
     String describe() {
-        return requestParts() + " parts decoded, reading suspended for " + suspendedUs / 1_000 + " ms";
+        long currentUs = turn == null ? 0 : context.clock().nowUs() - suspendedSinceUs;
+        return requestParts() + " parts decoded, reading suspended for " + (suspendedUs + currentUs) / 1_000 + " ms";
     }
 
     private long requestParts() {
--- a/src/test/java/gaugegw/proxy/client/ExpensiveRequestTest.java
+++ b/src/test/java/gaugegw/proxy/client/ExpensiveRequestTest.java
@@ -11,6 +11,8 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -19,6 +21,7 @@
 /** Requests that are expensive to decode must not keep other clients waiting. */
 class ExpensiveRequestTest {
     private static final int EXPENSIVE_CLIENTS = 400;
+    private static final int STOPPING_CLIENTS = 50;
     private static final int REQUESTS = 30;
     private static final int DEADLINE_MS = 1_200;
     /** A response that comes later than this after the deadline is lost. */
@@ -39,19 +42,40 @@
                 ScriptedServer.runInBackground(() -> sendAgainAndAgain(port, request, connected, ended));
             }
             connected.await();
-            sendRequests(proxy);
+            sendRequests(proxy, ProxyFixture::get);
+        } finally {
+            ended.set(true);
+        }
+    }
+
+    /** Guards against requests in a few hundred chunks that are lost while others send bodies in chunks of one byte. */
+    @Test
+    @Timeout(90)
+    void servesRequestsInManyChunksInTime(@TempDir Path folder) throws Exception {
+        var ended = new AtomicBoolean();
+        try (var proxy = new ReadyProxyProcess(folder, "ulimit -n 1024; ")) {
+            proxy.backend.respondToAll(ScriptedServer.ok("served"));
+            int port = proxy.port;
+            var connected = new CountDownLatch(STOPPING_CLIENTS);
+            for (int i = 0; i < STOPPING_CLIENTS; i++) {
+                String request = head("stopping" + i) + "1\r\nx\r\n".repeat(60_000);
+                ScriptedServer.runInBackground(() -> sendAgainAndAgain(port, request, connected, ended));
+            }
+            connected.await();
+            String body = ("64\r\n" + "x".repeat(100) + "\r\n").repeat(600) + "0\r\n\r\n";
+            sendRequests(proxy, id -> head(id) + body);
         } finally {
             ended.set(true);
         }
     }
 
     /** Sends requests one after the other, on a new connection where a response says that the last one closes. */
-    private static void sendRequests(ReadyProxyProcess proxy) throws IOException {
+    private static void sendRequests(ReadyProxyProcess proxy, UnaryOperator<String> requestWithId) throws IOException {
         RawConnection client = RawConnection.connectTo(proxy.port);
         try {
             for (int i = 0; i < REQUESTS; i++) {
                 client.socket.setSoTimeout(DEADLINE_MS + LATE_RESPONSE_MS);
-                String request = ProxyFixture.get("other" + i).replace("1900m", DEADLINE_MS + "m");
+                String request = requestWithId.apply("other" + i).replace("1900m", DEADLINE_MS + "m");
                 RawConnection.Message response = client.send(request).read();
                 assertThat(response)
                         .as(() -> String.join("\n", proxy.process.log()))
@@ -68,11 +92,19 @@
     }
 
     private static String expensiveRequest(String kind, int number) {
-        String post = ProxyFixture.post("expensive" + number, "");
-        String head = post.substring(0, post.indexOf("Content-Length"));
+        String id = "expensive" + number;
         return kind.equals("chunks")
-                ? head + "Transfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(20_000) + "0\r\n\r\n"
-                : head + "a:b\r\n".repeat(1_500);
+                ? head(id) + "1\r\nx\r\n".repeat(20_000) + "0\r\n\r\n"
+                : incompleteHead(id) + "a:b\r\n".repeat(1_500);
+    }
+
+    private static String head(String id) {
+        return incompleteHead(id) + "Transfer-Encoding: chunked\r\n\r\n";
+    }
+
+    private static String incompleteHead(String id) {
+        String post = ProxyFixture.post(id, "");
+        return post.substring(0, post.indexOf("Content-Length"));
     }
 
     private static void sendAgainAndAgain(int port, String request, CountDownLatch connected, AtomicBoolean ended)
