Leave a connection unread while reading it is suspended

Cause: after each resumption RetryingSocketChannel reads the channel once more 100 ms later, in case its registration with the selector has failed. It did so even if reading had been suspended again, so a request that is expensive to decode was read out of turn, once for each of its turns.

Change: that read is left out while reading is suspended. The next resumption schedules it again.

--- a/src/main/java/gaugegw/proxy/transport/RetryingSocketChannel.java
+++ b/src/main/java/gaugegw/proxy/transport/RetryingSocketChannel.java
@@ -147,10 +147,13 @@
         readingUnreported = false;
     }
 
-    /** Reads the channel if the selector has not reported it yet; if that finds anything, registers it again. */
+    /**
+     * Reads the channel if the selector has not reported it yet; if that finds anything, registers it again. While
+     * reading is suspended, nothing is read: when it is resumed, this is scheduled again.
+     */
     private void readUnreported() {
         unreportedReadScheduled = false;
-        if (reported || !isOpen()) {
+        if (reported || !isOpen() || !config().isAutoRead()) {
             return;
         }
         foundUnreported = false;
