Reject a request at its deadline while its connection waits to be read

The order of turns can't help there: these requests cost about as much as the others.

Cause: the proxy leaves the rest of such a request unread and nothing enforced its deadline, as a request is dispatched only when it is complete. The limit on incomplete requests, meant for clients that stop, was the only one.

Change: while reading is suspended, a timer rejects the request at the deadline that its head states (503, never forwarded; the connection closes). A head that is not decoded yet may be 450 ms old: its timeout is unknown, and a response later than half a second after it is lost. A request without a valid timeout is invalid, and has the limit of before. Each is counted (request_unread_at_deadline) and logged, one line a second at most. A request that is completed by a read out of turn resumes reading.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -1,6 +1,7 @@
 package gaugegw.proxy.client;
 
 import gaugegw.proxy.http.StrictRequestDecoder;
+import gaugegw.proxy.logging.TrafficEvent;
 import gaugegw.proxy.memory.MemoryUse;
 import gaugegw.proxy.transport.PendingWrites;
 import gaugegw.proxy.transport.Transport;
@@ -58,7 +59,7 @@
                 context.delayEstimator(), context.clock().nowUs(), Transport.connectedForUs(channel));
         this.closing = new ClosingSequence(channel, context.clock(), context.limiter());
         this.memory = new ClientConnectionMemory(context, this, channel, aggregator, pipelinedRequests);
-        this.decodeWork = new RequestDecodeWork(context, channel, aggregator);
+        this.decodeWork = new RequestDecodeWork(context, channel, aggregator, arrival, this::rejectUnread);
     }
 
     @Override
@@ -83,7 +84,7 @@
         arrival.bytesRead();
         super.channelRead(ctx, message);
         memory.update();
-        decodeWork.readDecoded(arrival.isIncomplete());
+        decodeWork.readDecoded();
     }
 
     private void countUnservedBytes(int bytes) {
@@ -261,6 +262,13 @@
         decodeWork.resume();
     }
 
+    /** Rejects a request whose deadline has been reached while the connection was waiting to be read. */
+    private void rejectUnread() {
+        context.counters().count(TrafficEvent.REQUEST_UNREAD_AT_DEADLINE);
+        decodeWork.logIfSuspended("is rejected at its deadline");
+        rejectAndClose(PlainTextResponse.rejection(context.overloadRetryAfterUs()));
+    }
+
     // End of the client's output, and disconnect
 
     @Override
@@ -364,11 +372,7 @@
     private void enforceRequestTimeout(long nowUs) {
         long sinceUs = hasResponded ? arrival.firstByteAtUs() : idleSinceUs;
         if (ClientTimeLimits.isRequestExceeded(nowUs - sinceUs)) {
-            if (decodeWork.hasBeenSuspended()) {
-                context.decodeWorkLog()
-                        .event(() -> "the request of client " + channel.remoteAddress() + " is not complete after "
-                                + (nowUs - sinceUs) / 1_000 + " ms: " + decodeWork.describe());
-            }
+            decodeWork.logIfSuspended("is not complete in time");
             rejectAndClose(PlainTextResponse.of(
                     HttpResponseStatus.REQUEST_TIMEOUT, "the request was not received completely in time"));
         }
--- a/src/main/java/gaugegw/proxy/client/ClientRequestParser.java
+++ b/src/main/java/gaugegw/proxy/client/ClientRequestParser.java
@@ -72,17 +72,27 @@
                     HttpResponseStatus.CONFLICT, "a request with this id is in flight or may have been executed");
         }
         List<String> keys = uri.parameters().get(AFFINITY_KEY_PARAMETER);
-        long timeoutUs = timeoutUs(requireHeader(headers, ProtocolHeaders.TIMEOUT));
         return new ClientRequest(
                 requestId,
                 requestClass.name(),
                 tenant,
                 keys == null ? null : keys.get(0),
                 RETRIED_VALUE.equals(headers.get(ProtocolHeaders.RETRIED)),
-                firstByteAtUs + timeoutUs - responseMarginUs(timeoutUs),
+                deadlineAtUs(headers, firstByteAtUs),
                 new UpstreamRequest(request.method(), request.uri(), headers, request.content()));
     }
 
+    /**
+     * Returns when a response must be sent at the latest so that the client still waits for it, on the proxy's clock.
+     *
+     * @param firstByteAtUs when the first byte of the request was received, on the proxy's clock
+     * @throws InvalidRequestException if the headers have no valid timeout
+     */
+    static long deadlineAtUs(HttpHeaders headers, long firstByteAtUs) throws InvalidRequestException {
+        long timeoutUs = timeoutUs(requireHeader(headers, ProtocolHeaders.TIMEOUT));
+        return firstByteAtUs + timeoutUs - responseMarginUs(timeoutUs);
+    }
+
     private static void requireApiPath(QueryStringDecoder uri) throws InvalidRequestException {
         String path = uri.rawPath();
         if (!path.equals(API_PATH) && !path.startsWith(API_PATH + "/")) {
--- a/src/main/java/gaugegw/proxy/client/RequestAggregator.java
+++ b/src/main/java/gaugegw/proxy/client/RequestAggregator.java
@@ -57,6 +57,11 @@
         return new MemoryUse(headBytes + undecodedBytes(), body.capacity());
     }
 
+    /** Returns the head of the incomplete request; null if it has not been received completely. */
+    HttpRequest incompleteHead() {
+        return head;
+    }
+
     /** Returns the number of parts that have been decoded on this connection; 0 after {@link #dropInput}. */
     long decodedParts() {
         StrictRequestDecoder decoder = pipeline.get(StrictRequestDecoder.class);
--- a/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
+++ b/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
@@ -2,15 +2,29 @@
 
 import gaugegw.proxy.transport.Transport;
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.util.concurrent.Future;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The work of decoding the incomplete request of one connection. Suspends reading while the request is expensive to
- * decode and its turn has not come; see {@link DecodeWorkLimiter}. Used on the event loop only.
+ * decode and its turn has not come; see {@link DecodeWorkLimiter}. Meanwhile the rest of the request may have been
+ * received, so its deadline is enforced: nothing else knows it before the request has been decoded. Used on the event
+ * loop only.
  */
 final class RequestDecodeWork {
+    /**
+     * Maximum age of a request whose head has not been decoded while reading is suspended, in microseconds. Its timeout
+     * is not known yet. A response later than half a second after the timeout is lost.
+     */
+    private static final long MAX_UNDECODED_HEAD_AGE_US = 450_000;
+
     private final ClientContext context;
     private final Channel channel;
     private final RequestAggregator aggregator;
+    private final RequestArrival arrival;
+    private final Runnable overdueHandler;
 
     /** The number of parts that have been decoded, as {@link RequestAggregator#decodedParts} counts them. */
     private long decodedParts;
@@ -18,26 +32,37 @@
     private long partsBeforeRequest;
     /** The turn for which the connection waits; null if reading is not suspended. */
     private DecodeTurn turn;
+    /** Fires at the deadline of the request; null if reading is not suspended or there is no deadline. */
+    private Future<?> overdueTimer;
     /** Since when reading is suspended, on the proxy's clock. */
     private long suspendedSinceUs;
     /** How long reading was suspended for the incomplete request, in microseconds, without the current turn. */
     private long suspendedUs;
 
-    RequestDecodeWork(ClientContext context, Channel channel, RequestAggregator aggregator) {
+    /**
+     * Creates an object for a connection on which nothing has been decoded.
+     *
+     * @param overdueHandler called when a request has reached its deadline while reading is suspended; must reject it
+     */
+    RequestDecodeWork(
+            ClientContext context,
+            Channel channel,
+            RequestAggregator aggregator,
+            RequestArrival arrival,
+            Runnable overdueHandler) {
         this.context = context;
         this.channel = channel;
         this.aggregator = aggregator;
+        this.arrival = arrival;
+        this.overdueHandler = overdueHandler;
     }
 
-    /**
-     * Records what a read has decoded, and suspends reading if the incomplete request is expensive to decode.
-     *
-     * @param requestIncomplete whether the read has ended within a request
-     */
-    void readDecoded(boolean requestIncomplete) {
+    /** Records what a read has decoded, and suspends reading if the incomplete request is expensive to decode. */
+    void readDecoded() {
         long partsBeforeRead = decodedParts;
         decodedParts = aggregator.decodedParts();
-        if (!requestIncomplete) {
+        if (!arrival.isIncomplete()) {
+            resume();
             partsBeforeRequest = decodedParts;
             suspendedUs = 0;
             return;
@@ -55,6 +80,28 @@
         channel.config().setAutoRead(false);
         suspendedSinceUs = context.clock().nowUs();
         turn = context.decodeScheduler().schedule(channel.eventLoop(), requestParts() + lastReadParts, this::takeTurn);
+        startOverdueTimer();
+    }
+
+    private void startOverdueTimer() {
+        OptionalLong deadlineAtUs = deadlineAtUs();
+        if (deadlineAtUs.isPresent()) {
+            long remainingUs = deadlineAtUs.getAsLong() - suspendedSinceUs;
+            overdueTimer = channel.eventLoop().schedule(overdueHandler, remainingUs, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** Returns the deadline of the incomplete request; empty if it is invalid, as its head has no valid timeout. */
+    private OptionalLong deadlineAtUs() {
+        HttpRequest head = aggregator.incompleteHead();
+        if (head == null) {
+            return OptionalLong.of(arrival.firstByteAtUs() + MAX_UNDECODED_HEAD_AGE_US);
+        }
+        try {
+            return OptionalLong.of(ClientRequestParser.deadlineAtUs(head.headers(), arrival.firstByteAtUs()));
+        } catch (InvalidRequestException e) {
+            return OptionalLong.empty();
+        }
     }
 
     /** Reads until {@link #readDecoded} suspends reading again, or until nothing is left. */
@@ -76,19 +123,35 @@
         if (turn != null) {
             context.decodeScheduler().cancel(turn);
             turn = null;
+            cancelOverdueTimer();
             suspendedUs += context.clock().nowUs() - suspendedSinceUs;
         }
     }
 
-    /** Returns whether reading has been suspended for the incomplete request. */
-    boolean hasBeenSuspended() {
-        return turn != null || suspendedUs > 0;
+    private void cancelOverdueTimer() {
+        if (overdueTimer != null) {
+            overdueTimer.cancel(false);
+            overdueTimer = null;
+        }
+    }
+
+    /**
+     * Logs what happens to the incomplete request, if reading it has been suspended.
+     *
+     * @param what the predicate of the sentence, such as {@code is not complete in time}
+     */
+    void logIfSuspended(String what) {
+        if (turn != null || suspendedUs > 0) {
+            context.decodeWorkLog().event(() -> describe(what));
+        }
     }
 
-    /** Describes the work in a form for the log. */
-    String describe() {
-        long currentUs = turn == null ? 0 : context.clock().nowUs() - suspendedSinceUs;
-        return requestParts() + " parts decoded, reading suspended for " + (suspendedUs + currentUs) / 1_000 + " ms";
+    private String describe(String what) {
+        long nowUs = context.clock().nowUs();
+        long currentUs = turn == null ? 0 : nowUs - suspendedSinceUs;
+        return "the request of client " + channel.remoteAddress() + " " + what + ", "
+                + (nowUs - arrival.firstByteAtUs()) / 1_000 + " ms after its first byte: " + requestParts()
+                + " parts decoded, reading suspended for " + (suspendedUs + currentUs) / 1_000 + " ms";
     }
 
     private long requestParts() {
--- a/src/main/java/gaugegw/proxy/logging/TrafficEvent.java
+++ b/src/main/java/gaugegw/proxy/logging/TrafficEvent.java
@@ -12,6 +12,8 @@
     REQUEST_FAILED,
     /** A client disconnected before it got a response. */
     REQUEST_ABANDONED,
+    /** A request was rejected at its deadline, while its connection waited for its turn to be read. */
+    REQUEST_UNREAD_AT_DEADLINE,
     /** A connection failed before its client got a response; each is logged by itself. */
     REQUEST_UNANSWERED,
     /** A response was passed to a connection that ended before all of it was written. */
