Estimate the cost of an expensive request from all that has been read of it

Cause: the order of turns took the next read to have as many parts as the last. A first read is 2 KiB, the next are 4 KiB: a body of one-byte chunks that had just begun counted as 650 parts, a request in 600 chunks that was nearly complete as 658, so it waited for a 4 KiB read of every other client.

Evidence: the log lines of the rejected requests, each with 619 parts decoded and reading suspended for 1.1 to 1.2 s.

Change: a request is expected to go on for as long as a body may be, with as many parts a byte as in all that has been read of it.

DecodeWorkLimiterTest has the three cases.

--- a/src/main/java/gaugegw/proxy/client/ClientConnection.java
+++ b/src/main/java/gaugegw/proxy/client/ClientConnection.java
@@ -74,8 +74,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        int readBytes = ((ByteBuf) message).readableBytes();
         if (pipelinedRequests.hasOverflow() || !closing.isOpen()) {
-            countUnservedBytes(((ByteBuf) message).readableBytes());
+            countUnservedBytes(readBytes);
         }
         if (!closing.isOpen() || closing.hasClientOutputEnded()) {
             ReferenceCountUtil.release(message);
@@ -84,7 +85,7 @@
         arrival.bytesRead();
         super.channelRead(ctx, message);
         memory.update();
-        decodeWork.readDecoded();
+        decodeWork.readDecoded(readBytes);
     }
 
     private void countUnservedBytes(int bytes) {
--- a/src/main/java/gaugegw/proxy/client/DecodeScheduler.java
+++ b/src/main/java/gaugegw/proxy/client/DecodeScheduler.java
@@ -26,7 +26,7 @@
      * Schedules the next read of a connection.
      *
      * @param loop the event loop that all connections share
-     * @param expectedParts the number of parts that its request is expected to have after the read
+     * @param expectedParts see {@link DecodeWorkLimiter#expectedParts}
      * @param reader reads the connection; called in a later task, unless the turn is cancelled before
      */
     DecodeTurn schedule(EventLoop loop, long expectedParts, Runnable reader) {
--- a/src/main/java/gaugegw/proxy/client/DecodeWorkLimiter.java
+++ b/src/main/java/gaugegw/proxy/client/DecodeWorkLimiter.java
@@ -1,5 +1,6 @@
 package gaugegw.proxy.client;
 
+import gaugegw.proxy.http.HttpLimits;
 import java.util.Comparator;
 import java.util.TreeSet;
 
@@ -11,9 +12,9 @@
  * becomes due when the work of the reads before it has been paid for. The work is counted in parts, not in time, so that
  * it does not depend on whether the code is compiled yet.
  *
- * <p>The next turn is that of the request which will have cost the least once it has been read. So a request never waits
- * for others to be decoded beyond its own cost, however many they are and however large. Makes the decisions only: no
- * clock, no I/O. All connections share one limiter. Used on the event loop only.
+ * <p>The next turn is that of the request which is expected to have cost the least in the end. So a request does not wait
+ * for others that cost more, however many they are. Makes the decisions only: no clock, no I/O. All connections share one
+ * limiter. Used on the event loop only.
  */
 final class DecodeWorkLimiter {
     /** Number of header lines and parts of the body after which a request counts as expensive. */
@@ -34,6 +35,17 @@
         return requestParts > FREE_PARTS;
     }
 
+    /**
+     * Returns the number of parts that an incomplete request is expected to have in the end: it may go on for as many
+     * bytes as a body may have, with as many parts a byte as before.
+     *
+     * @param requestParts the number of parts so far
+     * @param requestBytes the number of bytes received so far, at least 1
+     */
+    static long expectedParts(long requestParts, long requestBytes) {
+        return requestParts + requestParts * HttpLimits.MAX_BODY_BYTES / requestBytes;
+    }
+
     /**
      * Records the work of a read. Only the parts of a request beyond the free ones delay the next turn.
      *
@@ -54,7 +66,7 @@
     /**
      * Adds a connection to those that wait for their turn.
      *
-     * @param expectedParts the number of parts that its request is expected to have after its next read
+     * @param expectedParts see {@link #expectedParts}
      * @param reader reads the connection when its turn has come
      */
     DecodeTurn add(long expectedParts, Runnable reader) {
--- a/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
+++ b/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
@@ -30,6 +30,8 @@
     private long decodedParts;
     /** The number of parts that had been decoded when the last request was complete. */
     private long partsBeforeRequest;
+    /** The number of bytes of the incomplete request that have been read. */
+    private long requestBytes;
     /** The turn for which the connection waits; null if reading is not suspended. */
     private DecodeTurn turn;
     /** Fires at the deadline of the request; null if reading is not suspended or there is no deadline. */
@@ -57,29 +59,37 @@
         this.overdueHandler = overdueHandler;
     }
 
-    /** Records what a read has decoded, and suspends reading if the incomplete request is expensive to decode. */
-    void readDecoded() {
+    /**
+     * Records what a read has decoded, and suspends reading if the incomplete request is expensive to decode.
+     *
+     * @param readBytes the number of bytes of the read
+     */
+    void readDecoded(int readBytes) {
         long partsBeforeRead = decodedParts;
         decodedParts = aggregator.decodedParts();
         if (!arrival.isIncomplete()) {
             resume();
             partsBeforeRequest = decodedParts;
+            requestBytes = 0;
             suspendedUs = 0;
             return;
         }
-        long readParts = decodedParts - partsBeforeRead;
-        context.decodeScheduler().readDecoded(requestParts(), readParts);
+        requestBytes += readBytes;
+        context.decodeScheduler().readDecoded(requestParts(), decodedParts - partsBeforeRead);
         if (DecodeWorkLimiter.isExpensive(requestParts())) {
-            suspend(readParts);
+            suspend();
         }
     }
 
-    /** Waits for the next turn; the read is expected to have as many parts as the last one. */
-    private void suspend(long lastReadParts) {
+    private void suspend() {
         cancelTurn();
         channel.config().setAutoRead(false);
         suspendedSinceUs = context.clock().nowUs();
-        turn = context.decodeScheduler().schedule(channel.eventLoop(), requestParts() + lastReadParts, this::takeTurn);
+        turn = context.decodeScheduler()
+                .schedule(
+                        channel.eventLoop(),
+                        DecodeWorkLimiter.expectedParts(requestParts(), requestBytes),
+                        this::takeTurn);
         startOverdueTimer();
     }
 
--- a/src/test/java/gaugegw/proxy/client/DecodeWorkLimiterTest.java
+++ b/src/test/java/gaugegw/proxy/client/DecodeWorkLimiterTest.java
@@ -70,6 +70,18 @@
         assertThat(limiter.pollDue(0).expectedParts()).isEqualTo(1_400);
     }
 
+    /**
+     * Guards against a request in chunks of 10 or 100 bytes that waits, although it is nearly complete, until many
+     * others in chunks of one byte that have just begun are read.
+     */
+    @Test
+    void requestIsExpectedToGoOnAsItHasBegun() {
+        long beginningInChunksOfOneByte = DecodeWorkLimiter.expectedParts(325, 2_048);
+        assertThat(DecodeWorkLimiter.expectedParts(619, 63_700)).isLessThan(beginningInChunksOfOneByte);
+        assertThat(DecodeWorkLimiter.expectedParts(6_019, 90_000)).isLessThan(beginningInChunksOfOneByte);
+        assertThat(DecodeWorkLimiter.expectedParts(60_019, 360_000)).isGreaterThan(beginningInChunksOfOneByte);
+    }
+
     @Test
     void requestsOfTheSameCostAreReadInTheOrderOfTheirArrival() {
         DecodeTurn first = limiter.add(1_000, DecodeWorkLimiterTest::doNothing);
--- a/src/test/java/gaugegw/proxy/client/RequestDecodeWorkTest.java
+++ b/src/test/java/gaugegw/proxy/client/RequestDecodeWorkTest.java
@@ -4,6 +4,7 @@
 
 import gaugegw.proxy.http.StrictRequestDecoder;
 import gaugegw.proxy.transport.Clock;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
@@ -88,7 +89,7 @@
     void requestThatIsCompleteIsNeitherSuspendedNorOverdue() {
         receive("X-Timeout: 300m\r\n" + EXPENSIVE_LINES + END_OF_HEAD);
         arrival.requestCompleted();
-        work.readDecoded();
+        work.readDecoded(5);
         assertThat(channel.config().isAutoRead()).isTrue();
         advanceMs(1_900);
         assertThat(overdueRequests).isZero();
@@ -105,8 +106,10 @@
     /** Receives the beginning of a request in one read. */
     private void receive(String lines) {
         arrival.bytesRead();
-        channel.writeInbound(Unpooled.copiedBuffer("POST /api HTTP/1.1\r\n" + lines, StandardCharsets.ISO_8859_1));
-        work.readDecoded();
+        ByteBuf read = Unpooled.copiedBuffer("POST /api HTTP/1.1\r\n" + lines, StandardCharsets.ISO_8859_1);
+        int readBytes = read.readableBytes();
+        channel.writeInbound(read);
+        work.readDecoded(readBytes);
     }
 
     private void advanceMs(long ms) {
