Read only an open connection in its turn, and start the test's clients in one place

A turn may come between the close of a channel and channelInactive, which cancels it; the read would then fail with ClosedChannelException. Found on reading the change again; no caller saw it.

ExpensiveRequestTest's two tests share startClients; nothing that they check has changed.

--- a/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
+++ b/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
@@ -117,7 +117,10 @@
     /** Reads until {@link #readDecoded} suspends reading again, or until nothing is left. */
     private void takeTurn() {
         resume();
-        Transport.readNow(channel);
+        // Netty calls channelInactive, which cancels the turn, in a task after the close.
+        if (channel.isActive()) {
+            Transport.readNow(channel);
+        }
     }
 
     /** Resumes reading without waiting for a turn; to be called when no further request is decoded. */
--- a/src/test/java/gaugegw/proxy/client/ExpensiveRequestTest.java
+++ b/src/test/java/gaugegw/proxy/client/ExpensiveRequestTest.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.IntFunction;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -35,13 +36,7 @@
         var ended = new AtomicBoolean();
         try (var proxy = new ReadyProxyProcess(folder, "ulimit -n 1024; ")) {
             proxy.backend.respondToAll(ScriptedServer.ok("served"));
-            int port = proxy.port;
-            var connected = new CountDownLatch(EXPENSIVE_CLIENTS);
-            for (int i = 0; i < EXPENSIVE_CLIENTS; i++) {
-                String request = expensiveRequest(kind, i);
-                ScriptedServer.runInBackground(() -> sendAgainAndAgain(port, request, connected, ended));
-            }
-            connected.await();
+            startClients(proxy.port, EXPENSIVE_CLIENTS, i -> expensiveRequest(kind, i), ended);
             sendRequests(proxy, ProxyFixture::get);
         } finally {
             ended.set(true);
@@ -55,13 +50,7 @@
         var ended = new AtomicBoolean();
         try (var proxy = new ReadyProxyProcess(folder, "ulimit -n 1024; ")) {
             proxy.backend.respondToAll(ScriptedServer.ok("served"));
-            int port = proxy.port;
-            var connected = new CountDownLatch(STOPPING_CLIENTS);
-            for (int i = 0; i < STOPPING_CLIENTS; i++) {
-                String request = head("stopping" + i) + "1\r\nx\r\n".repeat(60_000);
-                ScriptedServer.runInBackground(() -> sendAgainAndAgain(port, request, connected, ended));
-            }
-            connected.await();
+            startClients(proxy.port, STOPPING_CLIENTS, i -> head("stopping" + i) + "1\r\nx\r\n".repeat(60_000), ended);
             String body = ("64\r\n" + "x".repeat(100) + "\r\n").repeat(600) + "0\r\n\r\n";
             sendRequests(proxy, id -> head(id) + body);
         } finally {
@@ -69,6 +58,17 @@
         }
     }
 
+    /** Starts clients that send one request each, again and again until the end, and waits until all have connected. */
+    private static void startClients(int port, int clients, IntFunction<String> requestOf, AtomicBoolean ended)
+            throws InterruptedException {
+        var connected = new CountDownLatch(clients);
+        for (int i = 0; i < clients; i++) {
+            String request = requestOf.apply(i);
+            ScriptedServer.runInBackground(() -> sendAgainAndAgain(port, request, connected, ended));
+        }
+        connected.await();
+    }
+
     /** Sends requests one after the other, on a new connection where a response says that the last one closes. */
     private static void sendRequests(ReadyProxyProcess proxy, UnaryOperator<String> requestWithId) throws IOException {
         RawConnection client = RawConnection.connectTo(proxy.port);
