Count the reconnects of DescriptorReserveTest while requests are sent

Cause: the test counted the reconnects from the start of the clients. On a busy machine they had reached the number before the main thread reached its loop, so that no request was sent. Trial: with 0.5 s of sleep before the loop it fails each time it was run (once); the proxy is not involved.

Change: the reconnects are counted from the start of the loop. So as many as before must happen while requests are sent, on any machine; with the same sleep the test passes. All checks stay.

--- a/src/test/java/gaugegw/proxy/transport/DescriptorReserveTest.java
+++ b/src/test/java/gaugegw/proxy/transport/DescriptorReserveTest.java
@@ -125,8 +125,9 @@
                     }
                 });
             }
+            int reconnectsBefore = reconnects.get();
             int served = 0;
-            while (reconnects.get() < MANY_CLIENTS) {
+            while (reconnects.get() - reconnectsBefore < MANY_CLIENTS) {
                 RawConnection.Message response = kept.send(ProxyFixture.getWithLongTimeout("kept" + served))
                         .read();
                 assertThat(response).isNotNull();
