--- a/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
+++ b/src/main/java/gaugegw/proxy/client/RequestDecodeWork.java
@@ -123,7 +123,10 @@
         }
     }
 
-    /** Resumes reading without waiting for a turn; to be called when no further request is decoded. */
+    /**
+     * Resumes reading if it is suspended: at its turn, when the request is complete, and when no further request is
+     * decoded.
+     */
     void resume() {
         if (turn != null) {
             cancelTurn();
